--- /dev/null
+++ b/gingervane/interface.py
@@ -0,0 +1,220 @@
+"""Types that the decision module deals in: its settings, its events and its actions.
+
+Nothing here decides anything, and nothing here has a default: a host fills in every field, so that
+whoever reads `policy.py` finds every tuned value there. Times are seconds of the host's clock.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+
+class Semantics(Enum):
+    """What a repeat of a part may do."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class ReplicaState(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    """How a membership event relates to the list held so far."""
+
+    DELTA = "delta"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+class Outcome(Enum):
+    """How one attempt ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    REJECTED = "rejected"
+    TIMED_OUT = "timed out"
+    CONNECT_FAILED = "connect failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NEVER_SENT = "never sent"
+
+    @property
+    def never_ran(self) -> bool:
+        """Whether this ending proves that the part had no effect: a fact of the protocol, not a choice."""
+        return self in (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NEVER_SENT)
+
+
+class QueryClass(NamedTuple):
+    aim: float
+    deadline: float
+    worth: float
+    late_worth: float
+    semantics: Semantics
+    repeat_window: float | None
+    second_step_parts: int
+    least_share: float
+    whole_share: float
+    aim_stretch: float | None
+
+
+class Settings(NamedTuple):
+    """What a co-ordinator is told once, when it starts. `None` means that the site does not have the thing."""
+
+    coordinators: int
+    ordinal: int
+    zone: int
+    classes: tuple[QueryClass, ...]
+    tenant_quotas: tuple[float | None, ...]
+    granularity: float
+    cells: int
+    width: int
+    parts_per_call: int
+    most_attempts: int
+    most_held: int
+    may_cancel: bool
+    may_probe: bool
+    may_message_peers: bool
+    may_copy: bool
+    may_advise_wait: bool
+    longest_wait_advice: float
+    must_ask_membership: bool
+    drain_grace: float
+    answer_grace: float
+    start_capacity: float
+    ramp_time: float
+    fall_multiple: float
+    fall_time: float
+    budget_free: float | None
+    budget_share: float | None
+    budget_span: float | None
+    report_names: tuple[str, ...]
+
+
+class Replica(NamedTuple):
+    """One line of the membership list."""
+
+    id: int
+    cell: int
+    zone: int
+    weight: float
+    state: ReplicaState
+    started_at: float
+
+
+class MembershipChanged(NamedTuple):
+    kind: ListKind
+    replicas: tuple[Replica, ...]
+
+
+class QueryArrived(NamedTuple):
+    """A query; `part_count` parts follow in the same batch."""
+
+    id: int
+    number: int
+    query_class: int
+    tenant: int
+    part_count: int
+    expires_at: float
+    is_repeat: bool
+    predicted_cost: float
+
+
+class PartArrived(NamedTuple):
+    id: int
+    query_number: int
+    shard: int
+    weight: float
+
+
+class AttemptEnded(NamedTuple):
+    part: int
+    attempt: int
+    replica: int
+    outcome: Outcome
+    latency: float
+
+
+class ProbeEnded(NamedTuple):
+    replica: int
+    outcome: Outcome
+    latency: float
+    load: tuple[float, ...]
+
+
+class QueryExpired(NamedTuple):
+    id: int
+
+
+class TimerFired(NamedTuple):
+    label: int
+
+
+class PeerMessage(NamedTuple):
+    sender: int
+    payload: bytes
+
+
+Event = (
+    MembershipChanged
+    | QueryArrived
+    | PartArrived
+    | AttemptEnded
+    | ProbeEnded
+    | QueryExpired
+    | TimerFired
+    | PeerMessage
+)
+
+
+class Send(NamedTuple):
+    """Ask a replica for a part; the attempt times out at `stop_at`."""
+
+    part: int
+    replica: int
+    stop_at: float
+
+
+class Cancel(NamedTuple):
+    part: int
+    attempt: int
+
+
+class Answer(NamedTuple):
+    query: int
+    whole: bool
+
+
+class Refuse(NamedTuple):
+    """Trying again is harmless; `come_again_in` of 0 gives no advice."""
+
+    query: int
+    come_again_in: float
+
+
+class Fail(NamedTuple):
+    query: int
+
+
+class SetTimer(NamedTuple):
+    delay: float
+    label: int
+
+
+class Subscribe(NamedTuple):
+    """Ask for membership changes to be pushed from now on."""
+
+
+class Remark(NamedTuple):
+    """A line for the operators' log."""
+
+    text: str
+
+
+Action = Send | Cancel | Answer | Refuse | Fail | SetTimer | Subscribe | Remark
