Eject for silence and failure only; pace cold replicas by answers served

Covers any cause of lateness that all share. Harm: a server ten times slower that still answers stays in use.

--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -26,7 +26,8 @@
 BREAKER_OPENS, BREAKER_CLOSES = 0.15, 0.10  # copies over parts (design page); failures over parts too
 COPY_CAP = 0.25  # copies out at once, of the parts out
 JUDGE_GAIN, EJECT_AT, MOST_EJECTED = 0.35, 0.55, 0.5  # two bad parts running eject; never over half
-EJECT_FOR, EJECT_MOST, TRIALS = 2.0, 16.0, 2  # seconds out, doubled at each failed trial; good trials wanted
+EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
+SILENCE = 2.0  # hedge delays without a word from a server after which a part counts as unanswered
 ADMIT, ADMIT_OVER_SHARE = 0.5, 0.25  # of the aim: mean time in the servers at which queries are refused
 
 
@@ -86,7 +87,7 @@
     badness: float = 0.0  # moving share of parts that were late or failed
     ejected_until: float = 0.0
     ejected_for: float = 0.0  # 0: in good standing
-    trials: int = 0  # good answers in a row since the ejection ran out
+    heard_at: float = 0.0  # last answer of any kind
     cold_from: float = 0.0  # start of the slow-start ramp
     credit: float = 0.0  # parts that the ramp allows now
     credit_at: float = 0.0
@@ -100,7 +101,7 @@
     sent_at: float
     call: int
     is_copy: bool
-    judged: bool = False
+    live: bool = True
 
 
 @dataclass
@@ -144,7 +145,7 @@
         self.calls, self.call_now = 0, dict[int, tuple[int, int]]()
         self.latency = [_Percentile(c.aim) for c in settings.classes]
         self.hedges, self.failures = _Breaker(), _Breaker()
-        self.sent, self.finished, self.copies_out = _Count(WINDOW), _Count(2.0), 0
+        self.sent, self.served, self.finished, self.copies_out = _Count(WINDOW), _Count(WINDOW), _Count(2.0), 0
         span = (settings.budget_span or 0.0) + settings.granularity
         self.extras, self.taken = _Count(span), _Count(span - 2 * settings.granularity)
         self.tenants = [_Count(WINDOW) for _ in settings.tenant_quotas]
@@ -202,9 +203,9 @@
                     server.listed = server.listed._replace(state=ReplicaState.GONE)
         for replica in event.replicas:
             server = self.servers.setdefault(replica.id, _Server(replica))
-            if replica.started_at > max(server.listed.started_at, server.cold_from - self.settings.ramp_time):
-                server.cold_from = replica.started_at
+            if replica.started_at > server.listed.started_at:
                 server.badness = server.ejected_for = 0.0
+            server.cold_from = max(server.cold_from, replica.started_at)
             server.listed = replica
         self.cells.clear()
         for _, server in sorted(self.servers.items()):
@@ -220,31 +221,35 @@
 
     # ---- replica health: outlier ejection and probation
 
-    def _judge(self, attempt: _Attempt, bad: float) -> None:
-        """Weigh one part's fate. Covers silence, slowness and fast failure alike: each is a bad part."""
-        server = attempt.server
-        if server.ejected_for:
-            if bad > 0.5:
-                if self.now >= server.ejected_until:
-                    self._eject(server, min(2 * server.ejected_for, EJECT_MOST))
-            else:
-                server.trials += 1
-                if server.trials >= TRIALS:
-                    # What was silent may have restarted before the list says so: it starts slowly.
-                    if server.ejected_for > EJECT_FOR:
-                        server.cold_from = self.now
-                    server.ejected_for = server.badness = 0.0
-                    self.actions.append(Remark(f"replica {server.listed.id} reinstated"))
-            return
-        server.badness += JUDGE_GAIN * (bad - server.badness)
-        ready = [s for s in self.servers.values() if s.listed.state is ReplicaState.READY]
-        mean = sum(s.badness for s in ready if not s.ejected_for) / max(len(ready), 1)
-        out = sum(1 for s in ready if s.ejected_for)
-        if server.badness > max(EJECT_AT, 2 * mean) and out + 1 <= MOST_EJECTED * len(ready):
-            self._eject(server, EJECT_FOR)
+    def _judge(self, server: _Server, bad: float) -> None:
+        """Weigh one part's fate. Covers silence and fast failure alike: each is a bad part.
+
+        Slowness and a full queue are no reason: the position rule already sees them in the calls out.
+        """
+        if server.ejected_for and bad and self.now >= server.ejected_until:
+            self._eject(server, min(2 * server.ejected_for, EJECT_MOST))
+        elif server.ejected_for and not bad:
+            # What was silent for long may have restarted before the list says so: it starts slowly.
+            if server.ejected_for > EJECT_FOR:
+                server.cold_from = self.now
+            server.ejected_for = server.badness = 0.0
+            self.actions.append(Remark(f"replica {server.listed.id} reinstated"))
+        elif not server.ejected_for:
+            server.badness += JUDGE_GAIN * (bad - server.badness)
+            ready = [s for s in self.servers.values() if s.listed.state is ReplicaState.READY]
+            mean = sum(s.badness for s in ready if not s.ejected_for) / max(len(ready), 1)
+            out = sum(1 for s in ready if s.ejected_for)
+            if server.badness > max(EJECT_AT, 2 * mean) and out + 1 <= MOST_EJECTED * len(ready):
+                self._eject(server, EJECT_FOR)
+
+    def _unheard(self, attempt: _Attempt, patience: float) -> None:
+        """A part still out after long patience counts against a server not heard from since it was sent."""
+        if attempt.live and attempt.server.heard_at <= attempt.sent_at:
+            self._judge(attempt.server, 1.0)
+            self._timer(patience, lambda: self._unheard(attempt, patience))
 
     def _eject(self, server: _Server, span: float) -> None:
-        server.ejected_for, server.ejected_until, server.trials = span, self.now + span, 0
+        server.ejected_for, server.ejected_until = span, self.now + span
         self.actions.append(Remark(f"replica {server.listed.id} ejected for {span:g} s"))
         # Guards the parts stranded on it: cancelling turns each into a retry elsewhere.
         for attempt in list(server.attempts.values()):
@@ -259,15 +264,12 @@
         return min(1.0, start + (1.0 - start) * max(age, 0.0) / self.settings.ramp_time)
 
     def _refill(self, server: _Server) -> None:
-        """Slow start: credit flows at the warm servers' mean rate times the sure share of capacity."""
-        warm = max(1, sum(1 for s in self.servers.values() if self._usable(s) and self._share(s) == 1.0))
-        rate = max(self.sent.get(self.now) / WINDOW / warm, 0.5 / self.settings.fall_time)
+        """Slow start: credit flows at the rate that ready servers answer at, times the sure share of capacity."""
+        ready = sum(1 for s in self.servers.values() if s.listed.state is ReplicaState.READY)
+        rate = max(self.served.get(self.now) / WINDOW / ready, 0.5 / self.settings.fall_time)
         gained = (self.now - server.credit_at) * rate * self._share(server)
         server.credit, server.credit_at = min(1.0, server.credit + gained), self.now
 
-    def _usable(self, server: _Server) -> bool:
-        return server.listed.state is ReplicaState.READY and not server.ejected_for
-
     def _permitted(self, server: _Server) -> bool:
         """May be sent to at all: neither draining nor gone, and not cold beyond its pace."""
         if server.listed.state is not ReplicaState.READY:
@@ -362,7 +364,9 @@
         self.copies_out += is_copy
         self.actions.append(Send(part.id, server.listed.id, query.answer_by))
         if not is_copy:
-            self._timer(self.latency[query.arrived.query_class].at(PERCENTILE), lambda: self._late(attempt))
+            delay = self.latency[query.arrived.query_class].at(PERCENTILE)
+            self._timer(delay, lambda: self._late(attempt))
+            self._timer(SILENCE * delay, lambda: self._unheard(attempt, SILENCE * delay))
         return True
 
     def _afford(self) -> bool:
@@ -376,13 +380,10 @@
 
     def _late(self, attempt: _Attempt) -> None:
         part, query = attempt.part, attempt.part.query
-        if (part.id, attempt.number) not in self.attempts or query.over or part.answered:
+        if not attempt.live or query.over or part.answered:
             return
-        if not attempt.judged:
-            attempt.judged = True
-            self._judge(attempt, 1.0)
         tracker = self.latency[query.arrived.query_class]
-        if attempt not in part.out or part.copied or self.now + tracker.at(0.5) > query.aim_at:
+        if part.copied or self.now + tracker.at(0.5) > query.aim_at:
             return
         safe = self.settings.classes[query.arrived.query_class].semantics is Semantics.SAFE
         if not safe or not self.settings.may_copy:
@@ -406,7 +407,7 @@
         attempt = self.attempts.pop((event.part, event.attempt), None)
         if attempt is None:
             return
-        part, server = attempt.part, attempt.server
+        part, server, attempt.live = attempt.part, attempt.server, False
         del server.attempts[event.part, event.attempt]
         server.calls[attempt.call] -= 1
         if not server.calls[attempt.call]:
@@ -417,11 +418,14 @@
             part.maybe_ran_at = None
         if event.outcome is Outcome.OK:
             self.finished.add(self.now)
-            self._judge(attempt, 0.5 if attempt.judged else 0.0)
+            self.served.add(self.now)
+            self._judge(server, 0.0)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
             self.failures.marks.add(self.now)
-            if not attempt.judged:
-                self._judge(attempt, 1.0)
+            if event.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
+                self._judge(server, 1.0)
+        if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
+            server.heard_at = self.now
         if part.query.over or part.answered:
             return
         if event.outcome is Outcome.OK:
