No copies while servers queue; admission at a third of the aim; positions weighed by the parts that meet the calls

Cause: in a burst every part passes a p95 learned before it, and copies kept the queues long. Exception: no copy while the mean time in the servers (Little's law) is over 0.2 of the aim.

--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -24,12 +24,13 @@
 PERCENTILE, SAMPLES, FEW = 0.95, 200, 20  # hedge delay: of the last SAMPLES latencies once there are FEW
 START_DELAY = 0.5  # of the aim, until then (design page)
 BREAKER_OPENS, BREAKER_CLOSES = 0.15, 0.10  # copies over parts (design page); failures over parts too
+HEDGE_UNTIL = 0.2  # of the aim: mean time in the servers beyond which lateness is queueing, not a tail
 COPY_CAP = 0.25  # copies out at once, of the attempts out
 JUDGE_GAIN, EJECT_AT, MOST_EJECTED = 0.35, 0.55, 0.5  # two bad parts running eject; never over half
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
 SILENCE = 2.0  # hedge delays without a word from a server after which a part counts as unanswered
 RATE_SPAN = 2.0  # seconds over which answers are counted for the present delay
-ADMIT, ADMIT_OVER_SHARE = 0.7, 0.5  # of the aim: mean time in the servers at which queries are refused
+ADMIT, ADMIT_OVER_SHARE = 0.33, 0.2  # of the aim: mean time in the servers at which queries are refused
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
 
 
@@ -313,7 +314,7 @@
             if len(row) < len(parts):
                 return None
             batch = self.settings.parts_per_call
-            calls = sum(len(s.calls) - (-n // batch) for s, n in Counter(row).items())
+            calls = sum(n * len(s.calls) - (-n // batch) for s, n in Counter(row).items())
             rows.append((calls, sum(s.listed.zone != self.settings.zone for s in row), j, row))
         return min(rows, key=lambda r: r[:3])[3]
 
@@ -363,7 +364,8 @@
         if not attempt.live or part.done or len(part.out) > 1 or not useful:
             return
         parts = self.sent.get(self.now)
-        shut = self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
+        queueing = self._delay() > HEDGE_UNTIL * part.query.kind.aim
+        shut = queueing | self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
         server = self._substitute(part)
         if shut or self.copies_out >= COPY_CAP * len(self.attempts) or server is None:
             self._timer(latency.at(PERCENTILE), lambda: self._late(attempt))
