--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -1,18 +1,19 @@
 """Every decision of a gingervane co-ordinator. Types, events and actions: `gingervane/interface.py`.
 
-The ordinary path is the design page's: a query takes the replica position with the fewest of this
-co-ordinator's calls out; a safe part that is late by its class's 95th percentile gets one copy; the
-first good answer wins and the twin is cancelled; a breaker on the share of copies pauses copying.
-All else is an exception, and docs/design.md says when each one acts.
+Ordinary path: a query takes the replica position with the fewest of this co-ordinator's calls out; a safe
+part late by its class's 95th percentile gets one copy; the first good answer wins, the twin is cancelled; a
+breaker on the share of copies pauses copying. All else is an exception: docs/design.md says when it acts.
 """
 
 from __future__ import annotations
 
 import random
 from bisect import bisect_left, insort
-from collections import Counter, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from math import inf
+from typing import Any
 
 from gingervane.interface import (
     Action, Answer, AttemptEnded, Cancel, Event, Fail, ListKind, MembershipChanged, Outcome, PartArrived,
@@ -21,8 +22,8 @@
 )
 
 WINDOW = 10.0  # span of the breaker and of the traffic counts (design page)
-PERCENTILE, SAMPLES, FEW = 0.95, 200, 20  # hedge delay: of the last SAMPLES latencies once there are FEW
-START_DELAY = 0.5  # of the aim, until then (design page)
+PERCENTILE, SAMPLES, FEW = 0.95, 200, 20  # hedge delay: of the last SAMPLES latencies once there are FEW,
+START_DELAY = 0.5  # and of the aim until then (design page)
 BREAKER_OPENS, BREAKER_CLOSES = 0.15, 0.10  # copies over parts (design page); failures over parts too
 HEDGE_UNTIL = 0.2  # of the aim: mean time in the servers beyond which lateness is queueing, not a tail
 COPY_CAP = 0.25  # copies out at once, of the attempts out
@@ -49,23 +50,19 @@
         return len(self.at)
 
 
-class _Breaker:
-    """Open from `BREAKER_OPENS` marks a part until under `BREAKER_CLOSES`: hysteresis over WINDOW."""
+class _Breaker(_Count):
+    """Open from `BREAKER_OPENS` marks a part until under `BREAKER_CLOSES`."""
 
-    def __init__(self) -> None:
-        self.marks, self.open = _Count(WINDOW), False
+    open = False
 
     def is_open(self, now: float, parts: int) -> bool:
-        share = self.marks.get(now) / max(parts, FEW)
+        share = self.get(now) / max(parts, FEW)
         self.open = share > (BREAKER_CLOSES if self.open else BREAKER_OPENS)
         return self.open
 
 
 class _Percentile:
-    """Latencies of a class's last parts, each from its first send to its first good answer.
-
-    Timing parts, not attempts, keeps the cancelled twins from hiding the tail.
-    """
+    """Last latencies, of parts and not of attempts: cancelled twins would hide the tail."""
 
     def __init__(self, aim: float) -> None:
         self.aim, self.recent, self.ranked = aim, deque[float](), list[float]()
@@ -84,8 +81,7 @@
 @dataclass(eq=False)
 class _Server:
     listed: Replica
-    calls: Counter[tuple[float, int]] = field(default_factory=Counter)  # call -> its parts still out
-    attempts: dict[tuple[int, int], _Attempt] = field(default_factory=dict)
+    calls: Counter[tuple[float, int, int]] = field(default_factory=Counter)  # parts out of each call
     badness: float = 0.0  # moving share of parts that failed or met silence
     ejected_until: float = 0.0
     ejected_for: float = 0.0  # 0: in good standing
@@ -94,10 +90,7 @@
     cold_from: float = 0.0  # start of the slow-start ramp
     credit: float = 0.0  # parts that slow start allows now
     credit_at: float = 0.0
-
-    @property
-    def ready(self) -> bool:
-        return self.listed.state is ReplicaState.READY
+    ready: bool = False  # listed as neither draining nor gone
 
 
 @dataclass(eq=False)
@@ -105,9 +98,9 @@
     part: _Part
     number: int
     server: _Server
-    call: tuple[float, int]  # when it was sent, and in which call of that batch
+    call: tuple[float, int, int]  # when it was sent, in which batch, and in which call of that
     is_copy: bool
-    live: bool = True
+    live: bool = True  # neither ended nor called off
 
 
 @dataclass(eq=False)
@@ -118,7 +111,7 @@
     out: list[_Attempt] = field(default_factory=list)
     tried: list[_Server] = field(default_factory=list)
     first_sent: float = 0.0
-    maybe_ran_at: float | None = None  # first send that is not proved never to have run
+    may_have_run: dict[int, float] = field(default_factory=dict)  # attempt -> sent; unless proved not to
     done: bool = False
 
 
@@ -141,43 +134,35 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
-        self.now, self.actions = 0.0, list[Action]()
+        self.now, self.batch, self.actions = 0.0, 0, list[Action]()
         self.servers, self.cells = dict[int, _Server](), dict[int, list[_Server]]()
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts, self.fresh = dict[tuple[int, int], _Attempt](), dict[int, _Query]()
         self.timers, self.labels = dict[int, Callable[[], None]](), 0
         self.call_now = Counter[_Server]()  # parts sent in this batch
         self.latency = [_Percentile(c.aim) for c in settings.classes]
-        self.hedges, self.failures, self.copies_out = _Breaker(), _Breaker(), 0
+        self.hedges, self.failures, self.copies_out = _Breaker(WINDOW), _Breaker(WINDOW), 0
         self.sent, self.finished = _Count(WINDOW), _Count(RATE_SPAN)
         # The budget's own counts lean a tick to the safe side at both ends.
         span, tick = settings.budget_span or 0.0, settings.granularity
+        self.free = inf if settings.budget_free is None else settings.budget_free
         self.extras, self.taken = _Count(span + tick), _Count(span - tick)
-        self.tenants = [_Count(WINDOW) for _ in settings.tenant_quotas]
-        self.subscribed, self.ask_pause = not settings.must_ask_membership, ASK_PAUSE
+        self.tenants = defaultdict[int, _Count](lambda: _Count(WINDOW))
+        self.ask_pause = 0.0 if settings.must_ask_membership else ASK_PAUSE
 
     def handle(self, now: float, events: Sequence[Event]) -> list[Action]:
         """Take one batch of events in order and say what to do."""
-        self.now, self.actions = now, []
+        self.now, self.actions, self.batch = now, [], self.batch + 1
         self.call_now.clear()
-        if not self.subscribed:
+        if not self.ask_pause:
             self._subscribe()
+        take: dict[type, Callable[[Any], None]] = {
+            AttemptEnded: self._ended, MembershipChanged: self._members, QueryArrived: self._take_query,
+            PartArrived: self._take_part, TimerFired: lambda e: self.timers.pop(e.label, lambda: None)(),
+            QueryExpired: lambda e: self._close(self.queries[e.id]) if e.id in self.queries else None,
+        }
         for event in events:
-            match event:
-                case AttemptEnded():
-                    self._ended(event)
-                case TimerFired(label):
-                    self.timers.pop(label, lambda: None)()
-                case QueryArrived():
-                    self._take_query(event)
-                case PartArrived():
-                    self._take_part(event)
-                case QueryExpired(query) if query in self.queries:
-                    self._close(self.queries[query])
-                case MembershipChanged():
-                    self._members(event)
-                case _:  # probes and peers are not asked, and what is over is nobody's concern
-                    pass
+            take.get(type(event), lambda e: None)(event)  # probes and peers are not asked
         fresh, self.fresh = self.fresh, {}
         for started in fresh.values():
             if not started.over:
@@ -192,7 +177,7 @@
     # ---- membership
 
     def _subscribe(self) -> None:
-        self.subscribed = True
+        self.ask_pause = max(self.ask_pause, ASK_PAUSE)
         self.actions.append(Subscribe())
 
     def _members(self, event: MembershipChanged) -> None:
@@ -201,17 +186,16 @@
             self._timer(self.ask_pause * self.random.uniform(0.5, 1.5), self._subscribe)
             self.ask_pause = min(2 * self.ask_pause, ASK_PAUSE_MOST)
             return
-        if event.kind is not ListKind.CACHED:
-            self.ask_pause = ASK_PAUSE
+        self.ask_pause = ASK_PAUSE
         if event.kind is not ListKind.DELTA:
             for server in self.servers.values():
-                server.listed = server.listed._replace(state=ReplicaState.GONE)
+                server.listed, server.ready = server.listed._replace(state=ReplicaState.GONE), False
         for replica in event.replicas:
             server = self.servers.setdefault(replica.id, _Server(replica))
             if replica.started_at > server.listed.started_at:  # restarted: a clean sheet, but cold
                 server.badness = server.ejected_for = 0.0
             server.cold_from = max(server.cold_from, replica.started_at)
-            server.listed = replica
+            server.listed, server.ready = replica, replica.state is ReplicaState.READY
         self.cells.clear()
         for _, server in sorted(self.servers.items()):
             if server.listed.state is not ReplicaState.GONE:
@@ -224,10 +208,7 @@
     # ---- replica health: outlier ejection and probation
 
     def _judge(self, server: _Server, bad: float) -> None:
-        """Weigh one part's fate. Covers silence and fast failure alike: each is a bad part.
-
-        Slowness and a full queue are no reason: the position rule already sees them in the calls out.
-        """
+        """Silence and fast failure are bad parts; slowness and full queues show in the calls out already."""
         if server.ejected_for and bad and self.now >= server.ejected_until:
             self._eject(server, min(2 * server.ejected_for, EJECT_MOST))
         elif server.ejected_for and not bad:
@@ -239,9 +220,9 @@
         elif not server.ejected_for:
             server.badness += JUDGE_GAIN * (bad - server.badness)
             ready = [s for s in self.servers.values() if s.ready]
-            mean = sum(s.badness for s in ready if not s.ejected_for) / max(len(ready), 1)
-            out = 1 + sum(1 for s in ready if s.ejected_for)
-            if server.badness > max(EJECT_AT, 2 * mean) and out <= MOST_EJECTED * len(ready):
+            sound = [s.badness for s in ready if not s.ejected_for]
+            spare = len(sound) - 1 >= (1 - MOST_EJECTED) * len(ready)
+            if spare and server.badness > max(EJECT_AT, 2 * sum(sound) / len(ready)):
                 self._eject(server, EJECT_FOR)
 
     def _unheard(self, attempt: _Attempt, patience: float) -> None:
@@ -254,8 +235,8 @@
         server.ejected_for, server.ejected_until = span, self.now + span
         self.actions.append(Remark(f"replica {server.listed.id} ejected for {span:g} s"))
         # Guards the parts stranded on it: cancelling turns each into a retry elsewhere.
-        for attempt in list(server.attempts.values()):
-            if len(attempt.part.out) == 1 and not attempt.part.done:
+        for attempt in self.attempts.values():
+            if attempt.server is server and len(attempt.part.out) == 1 and not attempt.part.done:
                 self._cancel(attempt)
 
     # ---- slow start
@@ -266,25 +247,20 @@
         return min(1.0, start + (1.0 - start) * max(age, 0.0) / self.settings.ramp_time)
 
     def _permitted(self, server: _Server) -> bool:
-        """May be sent to at all: neither draining nor gone, nor just found full, nor cold beyond its pace.
-
-        Credit flows at the rate that ready servers answer at, times the sure share. Answers, not sends:
-        a storm of retries must not buy a cold server more of it.
-        """
+        """May be sent to at all: neither draining nor gone, nor just found full, nor cold beyond its pace."""
         if not server.ready or self.now < server.full_until:
             return False
         share = self._share(server)
-        if share == 1.0:
-            return True
+        # Credit flows as ready servers answer, not as they are sent to: a retry storm must buy no more of it.
         ready = sum(s.ready for s in self.servers.values())
         rate = max(self.finished.get(self.now) / RATE_SPAN / ready, 0.5 / self.settings.fall_time)
         gained = (self.now - server.credit_at) * rate * share
         server.credit, server.credit_at = min(1.0, server.credit + gained), self.now
-        return server.credit >= 1.0
+        return share == 1.0 or server.credit >= 1.0
 
     def _fit(self, server: _Server) -> bool:
         """Permitted and healthy, or due for a trial part."""
-        trial = self.now >= server.ejected_until and not server.attempts
+        trial = self.now >= server.ejected_until and not server.calls
         return (not server.ejected_for or trial) and self._permitted(server)
 
     # ---- replica choice: the position rule
@@ -305,45 +281,39 @@
     def _position(self, parts: list[_Part]) -> list[_Server] | None:
         """The servers of the position with the fewest calls out, counting those that this query adds."""
         holders = [self._holders(p) for p in parts]
-        if not all(holders):
-            return None
         rows = list[tuple[int, int, int, list[_Server]]]()
-        for j in range(max(map(len, holders))):
+        for j in range(max(map(len, holders)) if all(holders) else 0):
             picks = [self._stand_in(p, held[j % len(held)]) for p, held in zip(parts, holders, strict=True)]
             row = [s for s in picks if s]
-            if len(row) < len(parts):
-                return None
             batch = self.settings.parts_per_call
             calls = sum(n * len(s.calls) - (-n // batch) for s, n in Counter(row).items())
-            rows.append((calls, sum(s.listed.zone != self.settings.zone for s in row), j, row))
-        return min(rows, key=lambda r: r[:3])[3]
+            if len(row) == len(parts):
+                rows.append((calls, sum(s.listed.zone != self.settings.zone for s in row), j, row))
+        return min(rows, key=lambda r: r[:3])[3] if rows else None
 
     # ---- the one path of every send, with the rules' guards
 
     def _send(self, part: _Part, server: _Server, is_copy: bool = False) -> bool:
-        query, rules = part.query, self.settings
-        if query.over or part.done or self.now >= query.answer_by or part.made >= rules.most_attempts:
+        query, kind, rules = part.query, part.query.kind, self.settings
+        over = query.over or part.done or self.now >= query.answer_by or part.made >= rules.most_attempts
+        if over or not self._permitted(server) or (part.out and not rules.may_copy):
+            return False
+        # No effect twice: what may have run goes again if safe; if keyed, within its window less a tick.
+        window = {Semantics.SAFE: inf, Semantics.UNSAFE: 0.0}.get(kind.semantics, kind.repeat_window or 0.0)
+        if part.may_have_run and self.now >= min(part.may_have_run.values()) + window - rules.granularity:
             return False
-        if not self._permitted(server) or (part.out and not rules.may_copy):
+        allowed = self.free + (rules.budget_share or 0.0) * self.taken.get(self.now)
+        if part.made and self.extras.get(self.now) + 1 > allowed:
             return False
-        if part.maybe_ran_at is not None and query.kind.semantics is not Semantics.SAFE:
-            # No effect twice: an unsafe part not at all, a keyed one within its window, less a tick.
-            closes = part.maybe_ran_at + (query.kind.repeat_window or 0.0) - rules.granularity
-            if query.kind.semantics is Semantics.UNSAFE or self.now >= closes:
-                return False
-        if part.made and rules.budget_free is not None and rules.budget_share is not None:
-            allowed = rules.budget_free + rules.budget_share * self.taken.get(self.now)
-            if self.extras.get(self.now) + 1 > allowed:
-                return False
         (self.extras if part.made else self.sent).add(self.now)
         part.first_sent = part.first_sent if part.made else self.now
-        part.maybe_ran_at = self.now if part.maybe_ran_at is None else part.maybe_ran_at
+        part.may_have_run[part.made] = self.now
         server.credit = max(server.credit - 1.0, 0.0)
-        call = (self.now, self.call_now[server] // rules.parts_per_call)
+        call = (self.now, self.batch, self.call_now[server] // rules.parts_per_call)
         self.call_now[server] += 1
         attempt = _Attempt(part, part.made, server, call, is_copy)
         server.calls[attempt.call] += 1
-        server.attempts[part.arrived.id, part.made] = self.attempts[part.arrived.id, part.made] = attempt
+        self.attempts[part.arrived.id, part.made] = attempt
         part.made += 1
         part.out.append(attempt)
         part.tried.append(server)
@@ -359,21 +329,20 @@
 
     def _late(self, attempt: _Attempt) -> None:
         """The hedge timer: one copy, if the part is still out and a copy can come in before the aim."""
-        part, latency = attempt.part, attempt.part.query.latency
-        useful = self.now + latency.at(0.5) <= part.query.aim_at
-        if not attempt.live or part.done or len(part.out) > 1 or not useful:
+        part, latency, parts = attempt.part, attempt.part.query.latency, self.sent.get(self.now)
+        if not attempt.live or len(part.out) > 1 or self.now + latency.at(0.5) > part.query.aim_at:
             return
-        parts = self.sent.get(self.now)
         queueing = self._delay() > HEDGE_UNTIL * part.query.kind.aim
         shut = queueing | self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
         server = self._substitute(part)
         if shut or self.copies_out >= COPY_CAP * len(self.attempts) or server is None:
             self._timer(latency.at(PERCENTILE), lambda: self._late(attempt))
         elif self._fit(server) and self._send(part, server, is_copy=True):
-            self.hedges.marks.add(self.now)
+            self.hedges.add(self.now)
 
     def _cancel(self, attempt: _Attempt) -> None:
-        if self.settings.may_cancel:
+        if self.settings.may_cancel and attempt.live:
+            attempt.live = False
             self.actions.append(Cancel(attempt.part.arrived.id, attempt.number))
 
     # ---- outcomes and retries
@@ -383,17 +352,16 @@
         if attempt is None:
             return
         part, server, attempt.live = attempt.part, attempt.server, False
-        del server.attempts[event.part, event.attempt]
         server.calls = server.calls - Counter({attempt.call: 1})
         self.copies_out -= attempt.is_copy
         part.out.remove(attempt)
-        if event.outcome.never_ran and part.made == 1:
-            part.maybe_ran_at = None
+        if event.outcome.never_ran:
+            del part.may_have_run[event.attempt]
         if event.outcome is Outcome.OK:
             self.finished.add(self.now)
             self._judge(server, 0.0)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
-            self.failures.marks.add(self.now)
+            self.failures.add(self.now)
             if event.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
                 self._judge(server, 1.0)
             if event.outcome is Outcome.REJECTED:
@@ -422,14 +390,13 @@
 
     def _take_query(self, event: QueryArrived) -> None:
         kind = self.settings.classes[event.query_class]
-        aim = min(kind.deadline, kind.aim + (kind.aim_stretch or 0.0) * event.predicted_cost)
         answer_by = event.expires_at - 2 * self.settings.granularity
-        latency = self.latency[event.query_class]
-        query = _Query(event, kind, latency, min(self.now + aim, answer_by), answer_by)
+        aim = min(kind.deadline, kind.aim + (kind.aim_stretch or 0.0) * event.predicted_cost)
+        aim_at = min(self.now + aim, answer_by)
+        query = _Query(event, kind, self.latency[event.query_class], aim_at, answer_by)
         self.queries[event.id] = self.by_number[event.number] = self.fresh[event.id] = query
         self.taken.add(self.now)
-        if event.tenant < len(self.tenants):
-            self.tenants[event.tenant].add(self.now)
+        self.tenants[event.tenant].add(self.now)
         self._timer(answer_by - self.now, lambda: self._overdue(query))
 
     def _take_part(self, event: PartArrived) -> None:
@@ -442,29 +409,25 @@
     def _start(self, query: _Query) -> None:
         crowded = query.step == 1 and self._crowded(query)
         row = None if crowded or not query.parts else self._position(query.parts)
-        if row is None:
-            self._give_up(query)
-            return
-        for part, server in zip(query.parts, row, strict=True):
+        for part, server in zip(query.parts, row or (), strict=row is not None):
             # Two parts of one query can spend a cold server's credit: the second goes elsewhere.
             other = self._stand_in(part, server)
             if other is None or not self._send(part, other):
-                self._give_up(query)
-                return
+                row = None
+                break
+        if row is None:
+            self._give_up(query)
 
     def _delay(self) -> float:
         """Mean time of a part in the servers, by Little's law from what this co-ordinator has out."""
-        done = self.finished.get(self.now)
-        out = sum(not a.server.ejected_for for a in self.attempts.values())
+        done, out = self.finished.get(self.now), sum(not a.server.ejected_for for a in self.attempts.values())
         return out * RATE_SPAN / done if done >= FEW else 0.0
 
     def _crowded(self, query: _Query) -> bool:
         """Refuse what would miss its aim at the present delay; sooner, what is over its tenant's share."""
-        tenant, limit = query.arrived.tenant, ADMIT
-        quota = self.settings.tenant_quotas[tenant] if tenant < len(self.tenants) else None
-        own = WINDOW * (quota or 0.0) / self.settings.coordinators
-        if quota is not None and self.tenants[tenant].get(self.now) > own:
-            limit = ADMIT_OVER_SHARE
+        quota = dict(enumerate(self.settings.tenant_quotas)).get(query.arrived.tenant)
+        asked = self.tenants[query.arrived.tenant].get(self.now) * self.settings.coordinators
+        limit = ADMIT_OVER_SHARE if quota and asked > WINDOW * quota else ADMIT
         steps = 2 if query.kind.second_step_parts else 1
         return self._delay() * steps > limit * (query.aim_at - self.now)
 
@@ -480,15 +443,14 @@
 
     def _overdue(self, query: _Query) -> None:
         """Time is nearly up: a short answer where the class allows one, else none."""
-        kind = query.kind
-        if not query.over and query.parts and kind.whole_share > kind.least_share <= query.weight_in:
+        if not query.over and query.parts and query.weight_in >= query.kind.least_share:
             self._answer(query, False)
         if not query.over:
             self._give_up(query)
 
     def _give_up(self, query: _Query) -> None:
         """The final answer at once: refused with a time to come again where that is harmless, else failed."""
-        harmless = query.kind.semantics is Semantics.SAFE or all(p.maybe_ran_at is None for p in query.parts)
+        harmless = query.kind.semantics is Semantics.SAFE or not any(p.may_have_run for p in query.parts)
         if harmless and query.step == 1:
             wait = min(self.settings.longest_wait_advice, max(self._delay(), self.settings.granularity))
             self.actions.append(Refuse(query.arrived.id, wait if self.settings.may_advise_wait else 0.0))
@@ -498,12 +460,10 @@
 
     def _close(self, query: _Query) -> None:
         query.over = True
-        self.queries.pop(query.arrived.id, None)
-        self.by_number.pop(query.arrived.number, None)
+        del self.queries[query.arrived.id], self.by_number[query.arrived.number]
         self._drop(query.parts)
 
     def _drop(self, parts: Sequence[_Part]) -> None:
-        """These parts are over; what is still out for them is called off."""
         for part in parts:
             part.done = True
             for attempt in part.out:
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,76 @@
+"""Random legal event sequences under random settings: the host raises when an action breaks a rule."""
+
+from __future__ import annotations
+
+from hosts import BASE, Host, query_class, replica
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gingervane import interface as api
+
+CLASSES = st.builds(
+    query_class,
+    aim=st.sampled_from([0.5, 2.0]),
+    deadline=st.sampled_from([3.0, 6.0]),
+    semantics=st.sampled_from(list(api.Semantics)),
+    window=st.just(1.5),
+    second=st.sampled_from([0, 0, 2]),
+    least=st.just(0.5),
+    whole=st.sampled_from([0.5, 1.0]),
+)
+SETTINGS = st.builds(
+    lambda first, second, copies, cancels, budget, batch, cells, ask: BASE._replace(
+        classes=(first, second), may_copy=copies, may_cancel=cancels, cells=cells, width=min(2, cells),
+        parts_per_call=batch, must_ask_membership=ask, budget_free=2.0 if budget else None,
+        budget_share=0.2 if budget else None, budget_span=5.0 if budget else None,
+    ),
+    CLASSES, CLASSES, st.booleans(), st.booleans(), st.booleans(), st.sampled_from([1, 4]),
+    st.sampled_from([1, 3]), st.booleans(),
+)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["query", "end", "end", "end", "wait", "member", "fail list"]),
+              st.integers(0, 9999), st.sampled_from(list(api.Outcome))),
+    min_size=20, max_size=120,
+)
+
+
+def play(settings: api.Settings, steps: list[tuple[str, int, api.Outcome]]) -> Host:
+    host = Host(settings, replicas=2 * settings.cells)
+    for what, n, outcome in steps:
+        if what == "query":
+            host.query(*(i % settings.cells for i in range(n % 4 + 1)), query_class=n % 2, time=1.0 + n % 3)
+        elif what == "end" and host.out:
+            part, attempt = sorted(host.out)[n % len(host.out)]
+            if outcome is not api.Outcome.CANCELLED or (part, attempt) in host.cancelled:
+                host.finish(part, outcome, attempt)
+        elif what == "wait":
+            host.wait(n % 50 / 20)
+        elif what == "member":
+            number = 10 + n % (2 * settings.cells)
+            state = list(api.ReplicaState)[n % 3]
+            row = replica(number, host.states[number].cell, number, state, host.now if n % 2 else 0.0)
+            host.members(api.ListKind.DELTA, row)
+        elif what == "fail list" and settings.must_ask_membership:
+            host.members(api.ListKind.FAILED)
+        feed_second_steps(host)
+    host.wait(20.0)
+    return host
+
+
+def feed_second_steps(host: Host) -> None:
+    """An answer to a first step brings the parts of the second in the next batch."""
+    for query in sorted(host.step_parts):
+        if host.steps[query] == 2 and not host.step_parts[query] and query not in host.ended:
+            number = next(i for i, q in enumerate(sorted(host.classes)) if q == query)
+            host.feed(*host.make_parts(query, number, (0,)))
+
+
+@given(SETTINGS, STEPS)
+def test_no_rule_is_broken(settings: api.Settings, steps: list[tuple[str, int, api.Outcome]]) -> None:
+    host = play(settings, steps)
+    assert set(host.ended) == set(host.classes), "a query got no final answer"
+
+
+@given(SETTINGS, STEPS)
+def test_same_events_same_actions(settings: api.Settings, steps: list[tuple[str, int, api.Outcome]]) -> None:
+    assert play(settings, steps).log == play(settings, steps).log
