Admission by the calls out at the query's own position

Cause: the mean over all servers rose with a few slow or hot ones, and queries that would not have met them were refused. Little's law now looks at the servers of the row that the position rule chose. Covers slow, hot and stalled servers alike. Harm: rows of few servers make a coarse estimate.

--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -407,29 +407,29 @@
             self.fresh[query.arrived.id] = query
 
     def _start(self, query: _Query) -> None:
-        crowded = query.step == 1 and self._crowded(query)
-        row = None if crowded or not query.parts else self._position(query.parts)
+        row = self._position(query.parts) if query.parts else None
+        admitted = row is not None and (query.step == 2 or not self._crowded(query, row))
         for part, server in zip(query.parts, row or (), strict=row is not None):
             # Two parts of one query can spend a cold server's credit: the second goes elsewhere.
-            other = self._stand_in(part, server)
-            if other is None or not self._send(part, other):
-                row = None
-                break
-        if row is None:
+            other = self._stand_in(part, server) if admitted else None
+            admitted = other is not None and self._send(part, other)
+        if not admitted:
             self._give_up(query)
 
-    def _delay(self) -> float:
-        """Mean time of a part in the servers, by Little's law from what this co-ordinator has out."""
-        done, out = self.finished.get(self.now), sum(not a.server.ejected_for for a in self.attempts.values())
-        return out * RATE_SPAN / done if done >= FEW else 0.0
+    def _delay(self, row: list[_Server] | None = None) -> float:
+        """Mean time of a part in these servers, or all in use, by Little's law over own calls."""
+        done, ready = self.finished.get(self.now), [s for s in self.servers.values() if s.ready]
+        row = row or [s for s in ready if not s.ejected_for]
+        out = sum(sum(s.calls.values()) for s in row) / max(len(row), 1)
+        return out * len(ready) * RATE_SPAN / done if done >= FEW else 0.0
 
-    def _crowded(self, query: _Query) -> bool:
+    def _crowded(self, query: _Query, row: list[_Server]) -> bool:
         """Refuse what would miss its aim at the present delay; sooner, what is over its tenant's share."""
         quota = dict(enumerate(self.settings.tenant_quotas)).get(query.arrived.tenant)
         asked = self.tenants[query.arrived.tenant].get(self.now) * self.settings.coordinators
         limit = ADMIT_OVER_SHARE if quota and asked > WINDOW * quota else ADMIT
         steps = 2 if query.kind.second_step_parts else 1
-        return self._delay() * steps > limit * (query.aim_at - self.now)
+        return self._delay(row) * steps > limit * (query.aim_at - self.now)
 
     # ---- completion
 
