--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from math import inf
-from statistics import median
 from typing import Any
 
 from gingervane.interface import (
@@ -26,7 +25,7 @@
 PERCENTILE, SAMPLES, FEW = 0.95, 200, 20  # hedge delay: of the last SAMPLES latencies once there are FEW,
 START_DELAY = 0.5  # and of the aim until then (design page)
 BREAKER_OPENS, BREAKER_CLOSES = 0.15, 0.10  # copies over parts (design page); failures over parts too
-HEDGE_UNTIL = 0.2  # of the aim: median of late beyond which lateness is queueing, not a tail
+HEDGE_UNTIL = 0.2  # of the aim: mean time in the servers beyond which lateness is queueing, not a tail
 COPY_CAP = 0.25  # copies out at once, of the attempts out
 JUDGE_GAIN, EJECT_AT, MOST_EJECTED = 0.35, 0.55, 0.5  # two bad parts running eject; never over half
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
@@ -78,10 +77,6 @@
         few = len(self.ranked) < FEW
         return self.aim * START_DELAY if few else self.ranked[int(share * (len(self.ranked) - 1))]
 
-    def lately(self) -> float:
-        """Median of the last few: a handful of bad servers does not move it, queueing everywhere does."""
-        return median(list(self.recent)[-FEW:] or [0.0])
-
 
 @dataclass(eq=False)
 class _Server:
@@ -337,7 +332,7 @@
         part, latency, parts = attempt.part, attempt.part.query.latency, self.sent.get(self.now)
         if not attempt.live or len(part.out) > 1 or self.now + latency.at(0.5) > part.query.aim_at:
             return
-        queueing = latency.lately() > HEDGE_UNTIL * part.query.kind.aim
+        queueing = self._delay() > HEDGE_UNTIL * part.query.kind.aim
         shut = queueing | self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
         server = self._substitute(part)
         if shut or self.copies_out >= COPY_CAP * len(self.attempts) or server is None:
