--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -25,7 +25,7 @@
 PERCENTILE, SAMPLES, FEW = 0.95, 200, 20  # hedge delay: of the last SAMPLES latencies once there are FEW,
 START_DELAY = 0.5  # and of the aim until then (design page)
 BREAKER_OPENS, BREAKER_CLOSES = 0.15, 0.10  # copies over parts (design page); failures over parts too
-HEDGE_UNTIL = 0.13  # of the aim: mean time in the servers beyond which lateness is queueing, not a tail
+HEDGE_UNTIL = 0.2  # of the aim: mean time in the servers beyond which lateness is queueing, not a tail
 COPY_CAP = 0.25  # copies out at once, of the attempts out
 JUDGE_GAIN, EJECT_AT, MOST_EJECTED = 0.35, 0.55, 0.5  # two bad parts running eject; never over half
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
@@ -332,9 +332,7 @@
         part, latency, parts = attempt.part, attempt.part.query.latency, self.sent.get(self.now)
         if not attempt.live or len(part.out) > 1 or self.now + latency.at(0.5) > part.query.aim_at:
             return
-        # The busiest quarter is left out: a few bad servers are what copies are for, queues everywhere are not.
-        quiet = sorted((s for s in self.servers.values() if s.ready), key=lambda s: len(s.calls))
-        queueing = self._delay(quiet[: -(-3 * len(quiet) // 4)]) > HEDGE_UNTIL * part.query.kind.aim
+        queueing = self._delay() > HEDGE_UNTIL * part.query.kind.aim
         shut = queueing | self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
         server = self._substitute(part)
         if shut or self.copies_out >= COPY_CAP * len(self.attempts) or server is None:
