A backed-up server gets no new part; any failure is a bad part

A server whose oldest call is older than 0.35 of the query's time to its aim is stood in for, or the query is refused unsent. Covers stalls, slow and hot servers, last holders. Harm: one very heavy part keeps its server idle for this co-ordinator.

--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -32,6 +32,7 @@
 SILENCE = 2.0  # hedge delays without a word from a server after which a part counts as unanswered
 RATE_SPAN = 2.0  # seconds over which answers are counted for the present delay
 ADMIT, ADMIT_OVER_SHARE = 0.33, 0.2  # of the aim: mean time in the servers at which queries are refused
+BACKLOG = 0.35  # of the time to the aim: age of a server's oldest call at which it gets no new part
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
 
 
@@ -86,7 +87,6 @@
     ejected_until: float = 0.0
     ejected_for: float = 0.0  # 0: in good standing
     heard_at: float = 0.0  # last word of any kind
-    full_until: float = 0.0  # it turned a part away: nothing until then
     cold_from: float = 0.0  # start of the slow-start ramp
     credit: float = 0.0  # parts that slow start allows now
     credit_at: float = 0.0
@@ -208,7 +208,7 @@
     # ---- replica health: outlier ejection and probation
 
     def _judge(self, server: _Server, bad: float) -> None:
-        """Silence and fast failure are bad parts; slowness and full queues show in the calls out already."""
+        """Silence and any failure, full queues too, are bad parts; slowness shows in the calls out."""
         if server.ejected_for and bad and self.now >= server.ejected_until:
             self._eject(server, min(2 * server.ejected_for, EJECT_MOST))
         elif server.ejected_for and not bad:
@@ -247,8 +247,8 @@
         return min(1.0, start + (1.0 - start) * max(age, 0.0) / self.settings.ramp_time)
 
     def _permitted(self, server: _Server) -> bool:
-        """May be sent to at all: neither draining nor gone, nor just found full, nor cold beyond its pace."""
-        if not server.ready or self.now < server.full_until:
+        """May be sent to at all: neither draining nor gone nor cold beyond its pace."""
+        if not server.ready:
             return False
         share = self._share(server)
         # Credit flows as ready servers answer, not as they are sent to: a retry storm must buy no more of it.
@@ -258,10 +258,15 @@
         server.credit, server.credit_at = min(1.0, server.credit + gained), self.now
         return share == 1.0 or server.credit >= 1.0
 
-    def _fit(self, server: _Server) -> bool:
-        """Permitted and healthy, or due for a trial part."""
+    def _fit(self, server: _Server, query: _Query) -> bool:
+        """Permitted, not backed up, and healthy or due for a trial part."""
         trial = self.now >= server.ejected_until and not server.calls
-        return (not server.ejected_for or trial) and self._permitted(server)
+        sound = (not server.ejected_for or trial) and not self._backed_up(server, query)
+        return sound and self._permitted(server)
+
+    def _backed_up(self, server: _Server, query: _Query) -> bool:
+        """Its oldest call has been out so long that a new part behind it would be late."""
+        return bool(server.calls) and self.now - min(server.calls)[0] > BACKLOG * (query.aim_at - self.now)
 
     # ---- replica choice: the position rule
 
@@ -270,13 +275,14 @@
         running = [a.server for a in part.out]
 
         def rank(s: _Server) -> tuple[bool, bool, int, bool]:
-            return (not self._fit(s), s in part.tried, len(s.calls), s.listed.zone != self.settings.zone)
+            far = s.listed.zone != self.settings.zone
+            return (not self._fit(s, part.query), s in part.tried, len(s.calls), far)
 
         others = [s for s in self._holders(part) if self._permitted(s) and s not in running]
         return min(others, key=rank) if others else None
 
     def _stand_in(self, part: _Part, server: _Server) -> _Server | None:
-        return server if self._fit(server) else self._substitute(part)
+        return server if self._fit(server, part.query) else self._substitute(part)
 
     def _position(self, parts: list[_Part]) -> list[_Server] | None:
         """The servers of the position with the fewest calls out, counting those that this query adds."""
@@ -337,7 +343,7 @@
         server = self._substitute(part)
         if shut or self.copies_out >= COPY_CAP * len(self.attempts) or server is None:
             self._timer(latency.at(PERCENTILE), lambda: self._late(attempt))
-        elif self._fit(server) and self._send(part, server, is_copy=True):
+        elif self._fit(server, part.query) and self._send(part, server, is_copy=True):
             self.hedges.add(self.now)
 
     def _cancel(self, attempt: _Attempt) -> None:
@@ -362,11 +368,7 @@
             self._judge(server, 0.0)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
             self.failures.add(self.now)
-            if event.outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
-                self._judge(server, 1.0)
-            if event.outcome is Outcome.REJECTED:
-                # Guards against a storm: queries that cannot be whole keep full queues full.
-                server.full_until = self.now + part.query.latency.at(PERCENTILE)
+            self._judge(server, 1.0)
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
             server.heard_at = self.now
         if not part.done and event.outcome is Outcome.OK:
@@ -419,8 +421,7 @@
     def _delay(self, row: list[_Server] | None = None) -> float:
         """Mean time of a part in these servers, or all in use, by Little's law over own calls."""
         done, ready = self.finished.get(self.now), [s for s in self.servers.values() if s.ready]
-        row = row or [s for s in ready if not s.ejected_for]
-        out = sum(sum(s.calls.values()) for s in row) / max(len(row), 1)
+        out = sum(sum(s.calls.values()) for s in row or ready) / max(len(row or ready), 1)
         return out * len(ready) * RATE_SPAN / done if done >= FEW else 0.0
 
     def _crowded(self, query: _Query, row: list[_Server]) -> bool:
@@ -428,8 +429,8 @@
         quota = dict(enumerate(self.settings.tenant_quotas)).get(query.arrived.tenant)
         asked = self.tenants[query.arrived.tenant].get(self.now) * self.settings.coordinators
         limit = ADMIT_OVER_SHARE if quota and asked > WINDOW * quota else ADMIT
-        steps = 2 if query.kind.second_step_parts else 1
-        return self._delay(row) * steps > limit * (query.aim_at - self.now)
+        left = (query.aim_at - self.now) / (2 if query.kind.second_step_parts else 1)
+        return self._delay(row) > limit * left or any(self._backed_up(s, query) for s in row)
 
     # ---- completion
 
