--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -31,7 +31,7 @@
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
 SILENCE = 2.0  # hedge delays without a word from a server after which a part counts as unanswered
 RATE_SPAN = 2.0  # seconds over which answers are counted for the present delay
-ADMIT, ADMIT_OVER_SHARE = 0.33, 0.2  # of the aim: mean time in the servers at which queries are refused
+ADMIT, ADMIT_OVER_SHARE = 0.25, 0.2  # of the aim: mean time in the servers at which queries are refused
 BACKLOG = 0.35  # of the time to the aim: age of a server's oldest call at which it gets no new part
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
 
