--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -31,8 +31,7 @@
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
 SILENCE = 2.0  # hedge delays without a word from a server after which a part counts as unanswered
 RATE_SPAN = 2.0  # seconds over which answers are counted for the present delay
-ADMIT, ADMIT_OVER_SHARE = 0.25, 0.2  # of the aim: mean time in the servers at which queries are refused,
-SECOND_STEP = 1.5  # sooner by this where a shorter second step is to follow
+ADMIT, ADMIT_OVER_SHARE = 0.29, 0.2  # of the aim: mean time in the servers at which queries are refused
 BACKLOG = 0.35  # of the time to the aim: age of a server's oldest call at which it gets no new part
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
 
@@ -430,7 +429,7 @@
         quota = dict(enumerate(self.settings.tenant_quotas)).get(query.arrived.tenant)
         asked = self.tenants[query.arrived.tenant].get(self.now) * self.settings.coordinators
         limit = ADMIT_OVER_SHARE if quota and asked > WINDOW * quota else ADMIT
-        left = (query.aim_at - self.now) / (SECOND_STEP if query.kind.second_step_parts else 1.0)
+        left = (query.aim_at - self.now) / (2 if query.kind.second_step_parts else 1)
         return self._delay(row) > limit * left or any(self._backed_up(s, query) for s in row)
 
     # ---- completion
