--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -301,8 +301,7 @@
 
     def _send(self, part: _Part, server: _Server, is_copy: bool = False) -> bool:
         query, kind, rules = part.query, part.query.kind, self.settings
-        stop_at = query.answer_by if kind.late_worth else query.aim_at  # servers need not begin what is worthless
-        over = query.over or part.done or self.now >= stop_at or part.made >= rules.most_attempts
+        over = query.over or part.done or self.now >= query.answer_by or part.made >= rules.most_attempts
         if over or not self._permitted(server) or (part.out and not rules.may_copy):
             return False
         # No effect twice: what may have run goes again if safe; if keyed, within its window less a tick.
@@ -325,7 +324,7 @@
         part.out.append(attempt)
         part.tried.append(server)
         self.copies_out += is_copy
-        self.actions.append(Send(part.arrived.id, server.listed.id, stop_at))
+        self.actions.append(Send(part.arrived.id, server.listed.id, query.answer_by))
         delay = query.latency.at(PERCENTILE)
         self._timer(SILENCE * delay, lambda: self._unheard(attempt, SILENCE * delay))
         if not is_copy and query.kind.semantics is Semantics.SAFE and rules.may_copy:
