--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -87,6 +87,7 @@
     ejected_until: float = 0.0
     ejected_for: float = 0.0  # 0: in good standing
     heard_at: float = 0.0  # last word of any kind
+    reached: float = 0.0  # send time of the latest part that it has answered
     cold_from: float = 0.0  # start of the slow-start ramp
     credit: float = 0.0  # parts that slow start allows now
     credit_at: float = 0.0
@@ -133,7 +134,7 @@
     """One co-ordinator's decisions, from its own settings and its own events alone."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings, self.random = settings, random.Random(seed)
+        self.settings, self.zone, self.random = settings, settings.zone, random.Random(seed)
         self.now, self.batch, self.actions = 0.0, 0, list[Action]()
         self.servers, self.cells = dict[int, _Server](), dict[int, list[_Server]]()
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
@@ -205,7 +206,7 @@
         cells = {(part.arrived.shard + j) % self.settings.cells for j in range(self.settings.width)}
         return sorted((s for c in cells for s in self.cells.get(c, ())), key=lambda s: s.listed.id)
 
-    # ---- replica health: outlier ejection and probation
+    # ---- replica health: outlier ejection, probation, slow start
 
     def _judge(self, server: _Server, bad: float) -> None:
         """Silence and any failure, full queues too, are bad parts; slowness shows in the calls out."""
@@ -239,8 +240,6 @@
             if attempt.server is server and len(attempt.part.out) == 1 and not attempt.part.done:
                 self._cancel(attempt)
 
-    # ---- slow start
-
     def _share(self, server: _Server) -> float:
         """How much of its capacity a server surely has, by the stated ramp."""
         start, age = self.settings.start_capacity, self.now - server.cold_from
@@ -265,8 +264,9 @@
         return sound and self._permitted(server)
 
     def _backed_up(self, server: _Server, query: _Query) -> bool:
-        """Its oldest call has been out so long that a new part behind it would be late."""
-        return bool(server.calls) and self.now - min(server.calls)[0] > BACKLOG * (query.aim_at - self.now)
+        """Its oldest call is old, but for parts that later ones overtook: those are lost, not queued."""
+        oldest = min((c[0] for c in server.calls if c[0] > server.reached), default=self.now)
+        return self.now - oldest > BACKLOG * (query.aim_at - self.now)
 
     # ---- replica choice: the position rule
 
@@ -275,8 +275,7 @@
         running = [a.server for a in part.out]
 
         def rank(s: _Server) -> tuple[bool, bool, int, bool]:
-            far = s.listed.zone != self.settings.zone
-            return (not self._fit(s, part.query), s in part.tried, len(s.calls), far)
+            return (not self._fit(s, part.query), s in part.tried, len(s.calls), s.listed.zone != self.zone)
 
         others = [s for s in self._holders(part) if self._permitted(s) and s not in running]
         return min(others, key=rank) if others else None
@@ -370,7 +369,7 @@
             self.failures.add(self.now)
             self._judge(server, 1.0)
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
-            server.heard_at = self.now
+            server.heard_at, server.reached = self.now, max(server.reached, attempt.call[0])
         if not part.done and event.outcome is Outcome.OK:
             self._won(part)
         elif not part.done and not part.out:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -219,6 +219,16 @@
     assert host.where(stuck) not in late
 
 
+def test_a_lost_part_does_not_make_its_server_backed_up() -> None:
+    """Found in incident i0311c4: one answer lost, later ones came, and the server was left out all the same."""
+    host = Host(BASE._replace(may_copy=False), replicas=1)
+    host.query(0)  # its answer is lost
+    host.wait(0.1)
+    host.finish(part_of(host, host.query(0)))
+    host.wait(0.8)
+    assert host.sends[part_of(host, host.query(0))]
+
+
 def test_a_query_whose_only_holder_is_backed_up_is_refused_at_once() -> None:
     host = Host(BASE._replace(may_copy=False), replicas=1)
     host.query(0)
