--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -220,7 +220,7 @@
 
 
 def test_a_lost_part_does_not_make_its_server_backed_up() -> None:
-    """Found in incident i0311c4: one answer lost, later ones came, and the server was left out all the same."""
+    """Found in incident i0311c4: one answer lost, later ones came, the server was left out."""
     host = Host(BASE._replace(may_copy=False), replicas=1)
     host.query(0)  # its answer is lost
     host.wait(0.1)
