--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -82,7 +82,7 @@
 @dataclass(eq=False)
 class _Server:
     listed: Replica
-    calls: Counter[tuple[float, int, int]] = field(default_factory=Counter)  # parts out of each call
+    calls: dict[tuple[float, int, int], int] = field(default_factory=dict)  # parts out by call, oldest first
     badness: float = 0.0  # moving share of parts that failed or met silence
     ejected_until: float = 0.0
     ejected_for: float = 0.0  # 0: in good standing
@@ -136,7 +136,8 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings, self.zone, self.random = settings, settings.zone, random.Random(seed)
         self.now, self.batch, self.actions = 0.0, 0, list[Action]()
-        self.servers, self.cells = dict[int, _Server](), dict[int, list[_Server]]()
+        self.servers, self.held_by, self.ready = dict[int, _Server](), dict[int, list[_Server]](), 0
+        self.ejected, self.badness = set[_Server](), 0.0
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts, self.fresh = dict[tuple[int, int], _Attempt](), dict[int, _Query]()
         self.timers, self.labels = dict[int, Callable[[], None]](), 0
@@ -197,14 +198,21 @@
                 server.badness = server.ejected_for = 0.0
             server.cold_from = max(server.cold_from, replica.started_at)
             server.listed, server.ready = replica, replica.state is ReplicaState.READY
-        self.cells.clear()
-        for _, server in sorted(self.servers.items()):
+        # Guards CPU: what the fleet's size decides is worked out once a list, not for each part.
+        cells = defaultdict[int, list[_Server]](list)
+        for server in self.servers.values():
             if server.listed.state is not ReplicaState.GONE:
-                self.cells.setdefault(server.listed.cell, []).append(server)
+                cells[server.listed.cell].append(server)
+        self.ready, n = sum(s.ready for s in self.servers.values()), self.settings.cells
+        self.ejected = {s for s in self.servers.values() if s.ready and s.ejected_for}
+        self.held_by = {
+            c: sorted((s for j in range(min(self.settings.width, n)) for s in cells.get((c + j) % n, ())),
+                      key=lambda s: s.listed.id)
+            for c in range(n)
+        }
 
     def _holders(self, part: _Part) -> list[_Server]:
-        cells = {(part.arrived.shard + j) % self.settings.cells for j in range(self.settings.width)}
-        return sorted((s for c in cells for s in self.cells.get(c, ())), key=lambda s: s.listed.id)
+        return self.held_by.get(part.arrived.shard % self.settings.cells, [])
 
     # ---- replica health: outlier ejection, probation, slow start
 
@@ -217,13 +225,13 @@
             if server.ejected_for > EJECT_FOR:
                 server.cold_from = self.now
             server.ejected_for = server.badness = 0.0
+            self.ejected.discard(server)
             self.actions.append(Remark(f"replica {server.listed.id} reinstated"))
         elif not server.ejected_for:
             server.badness += JUDGE_GAIN * (bad - server.badness)
-            ready = [s for s in self.servers.values() if s.ready]
-            sound = [s.badness for s in ready if not s.ejected_for]
-            spare = len(sound) - 1 >= (1 - MOST_EJECTED) * len(ready)
-            if spare and server.badness > max(EJECT_AT, 2 * sum(sound) / len(ready)):
+            self.badness += (bad - self.badness) / FEW
+            spare = len(self.ejected) + 1 <= MOST_EJECTED * self.ready
+            if spare and server.badness > max(EJECT_AT, 2 * self.badness):
                 self._eject(server, EJECT_FOR)
 
     def _unheard(self, attempt: _Attempt, patience: float) -> None:
@@ -234,6 +242,7 @@
 
     def _eject(self, server: _Server, span: float) -> None:
         server.ejected_for, server.ejected_until = span, self.now + span
+        self.ejected.add(server)
         self.actions.append(Remark(f"replica {server.listed.id} ejected for {span:g} s"))
         # Guards the parts stranded on it: cancelling turns each into a retry elsewhere.
         for attempt in self.attempts.values():
@@ -247,15 +256,14 @@
 
     def _permitted(self, server: _Server) -> bool:
         """May be sent to at all: neither draining nor gone nor cold beyond its pace."""
-        if not server.ready:
-            return False
         share = self._share(server)
+        if not server.ready or share == 1.0:
+            return server.ready
         # Credit flows as ready servers answer, not as they are sent to: a retry storm must buy no more of it.
-        ready = sum(s.ready for s in self.servers.values())
-        rate = max(self.finished.get(self.now) / RATE_SPAN / ready, 0.5 / self.settings.fall_time)
+        rate = max(self.finished.get(self.now) / RATE_SPAN / self.ready, 0.5 / self.settings.fall_time)
         gained = (self.now - server.credit_at) * rate * share
         server.credit, server.credit_at = min(1.0, server.credit + gained), self.now
-        return share == 1.0 or server.credit >= 1.0
+        return server.credit >= 1.0
 
     def _fit(self, server: _Server, query: _Query) -> bool:
         """Permitted, not backed up, and healthy or due for a trial part."""
@@ -265,7 +273,7 @@
 
     def _backed_up(self, server: _Server, query: _Query) -> bool:
         """Its oldest call is old, but for parts that later ones overtook: those are lost, not queued."""
-        oldest = min((c[0] for c in server.calls if c[0] > server.reached), default=self.now)
+        oldest = next((c[0] for c in server.calls if c[0] > server.reached), self.now)
         return self.now - oldest > BACKLOG * (query.aim_at - self.now)
 
     # ---- replica choice: the position rule
@@ -285,15 +293,21 @@
 
     def _position(self, parts: list[_Part]) -> list[_Server] | None:
         """The servers of the position with the fewest calls out, counting those that this query adds."""
-        holders = [self._holders(p) for p in parts]
-        rows = list[tuple[int, int, int, list[_Server]]]()
+        holders, spare = [self._holders(p) for p in parts], dict[int, _Server | None]()
+        rows = list[tuple[int, int, float, list[_Server]]]()
         for j in range(max(map(len, holders)) if all(holders) else 0):
-            picks = [self._stand_in(p, held[j % len(held)]) for p, held in zip(parts, holders, strict=True)]
-            row = [s for s in picks if s]
+            row = list[_Server]()
+            for i, (part, held) in enumerate(zip(parts, holders, strict=True)):
+                server: _Server | None = held[j % len(held)]
+                if not self._fit(held[j % len(held)], part.query):
+                    server = spare[i] if i in spare else spare.setdefault(i, self._substitute(part))
+                if server is None:
+                    return None  # no holder may be sent to
+                row.append(server)
             batch = self.settings.parts_per_call
             calls = sum(n * len(s.calls) - (-n // batch) for s, n in Counter(row).items())
-            if len(row) == len(parts):
-                rows.append((calls, sum(s.listed.zone != self.settings.zone for s in row), j, row))
+            # Guards against hot spots: many co-ordinators with nothing out must not all take one position.
+            rows.append((calls, sum(s.listed.zone != self.zone for s in row), self.random.random(), row))
         return min(rows, key=lambda r: r[:3])[3] if rows else None
 
     # ---- the one path of every send, with the rules' guards
@@ -317,7 +331,7 @@
         call = (self.now, self.batch, self.call_now[server] // rules.parts_per_call)
         self.call_now[server] += 1
         attempt = _Attempt(part, part.made, server, call, is_copy)
-        server.calls[attempt.call] += 1
+        server.calls[call] = server.calls.get(call, 0) + 1
         self.attempts[part.arrived.id, part.made] = attempt
         part.made += 1
         part.out.append(attempt)
@@ -357,7 +371,9 @@
         if attempt is None:
             return
         part, server, attempt.live = attempt.part, attempt.server, False
-        server.calls = server.calls - Counter({attempt.call: 1})
+        server.calls[attempt.call] -= 1
+        if not server.calls[attempt.call]:
+            del server.calls[attempt.call]
         self.copies_out -= attempt.is_copy
         part.out.remove(attempt)
         if event.outcome.never_ran:
@@ -419,9 +435,9 @@
 
     def _delay(self, row: list[_Server] | None = None) -> float:
         """Mean time of a part in these servers, or all in use, by Little's law over own calls."""
-        done, ready = self.finished.get(self.now), [s for s in self.servers.values() if s.ready]
-        out = sum(sum(s.calls.values()) for s in row or ready) / max(len(row or ready), 1)
-        return out * len(ready) * RATE_SPAN / done if done >= FEW else 0.0
+        done, share = self.finished.get(self.now), self.ready / len(row) if row else 1.0
+        out = sum(sum(s.calls.values()) for s in row) if row else len(self.attempts)
+        return out * share * RATE_SPAN / done if done >= FEW else 0.0
 
     def _crowded(self, query: _Query, row: list[_Server]) -> bool:
         """Refuse what would miss its aim at the present delay; sooner, what is over its tenant's share."""
