--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -27,12 +27,14 @@
 BREAKER_OPENS, BREAKER_CLOSES = 0.15, 0.10  # copies over parts (design page); failures over parts too
 HEDGE_UNTIL = 0.2  # of the aim: mean time in the servers beyond which lateness is queueing, not a tail
 COPY_CAP = 0.25  # copies out at once, of the attempts out
-JUDGE_GAIN, EJECT_AT, MOST_EJECTED = 0.35, 0.55, 0.5  # two bad parts running eject; never over half
+VOUCH, EJECT_AT, MOST_EJECTED = 2.0, 0.6, 0.5  # half-life of judgements, s; a bad part ejects unless vouched for
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
 SILENCE = 2.0  # hedge delays without a word from a server after which a part counts as unanswered
+OUTCOMES = 40  # over how many the mean time and the share turned away are taken
 RATE_SPAN = 2.0  # seconds over which answers are counted for the present delay
-ADMIT, ADMIT_OVER_SHARE = 0.29, 0.2  # of the aim: mean time in the servers at which queries are refused
+ADMIT, ADMIT_OVER_SHARE = 0.5, 0.35  # of the aim: mean time in the servers at which queries are refused
 BACKLOG = 0.35  # of the time to the aim: age of a server's oldest call at which it gets no new part
+PUSHED = 0.3  # share of attempts turned away at which queries are refused
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
 
 
@@ -83,7 +85,8 @@
 class _Server:
     listed: Replica
     calls: dict[tuple[float, int, int], int] = field(default_factory=dict)  # parts out by call, oldest first
-    badness: float = 0.0  # moving share of parts that failed or met silence
+    badness: float = 0.0  # parts that failed, met silence or were overtaken by a copy, less good ones
+    judged_at: float = 0.0
     ejected_until: float = 0.0
     ejected_for: float = 0.0  # 0: in good standing
     heard_at: float = 0.0  # last word of any kind
@@ -123,6 +126,7 @@
     latency: _Percentile
     aim_at: float
     answer_by: float
+    stop_at: float
     parts: list[_Part] = field(default_factory=list)
     weight_in: float = 0.0
     step: int = 1
@@ -137,7 +141,8 @@
         self.settings, self.zone, self.random = settings, settings.zone, random.Random(seed)
         self.now, self.batch, self.actions = 0.0, 0, list[Action]()
         self.servers, self.held_by, self.ready = dict[int, _Server](), dict[int, list[_Server]](), 0
-        self.ejected, self.badness = set[_Server](), 0.0
+        self.ejected, self.badness, self.mean = set[_Server](), 0.0, 0.0
+        self.pushback, self.pushed_at = 0.0, 0.0  # share of attempts turned away, fading while none is sent
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts, self.fresh = dict[tuple[int, int], _Attempt](), dict[int, _Query]()
         self.timers, self.labels = dict[int, Callable[[], None]](), 0
@@ -228,10 +233,13 @@
             self.ejected.discard(server)
             self.actions.append(Remark(f"replica {server.listed.id} reinstated"))
         elif not server.ejected_for:
-            server.badness += JUDGE_GAIN * (bad - server.badness)
-            self.badness += (bad - self.badness) / FEW
+            # Guards against thin evidence: good parts vouch for a server, but only for a while.
+            fading = 0.5 ** ((self.now - server.judged_at) / VOUCH)
+            server.badness = max(server.badness * fading + (1.0 if bad else -0.5), -1.0)
+            server.judged_at = self.now
+            self.badness += (bad - self.badness) / OUTCOMES
             spare = len(self.ejected) + 1 <= MOST_EJECTED * self.ready
-            if spare and server.badness > max(EJECT_AT, 2 * self.badness):
+            if bad and spare and server.badness > EJECT_AT and self.badness < MOST_EJECTED:
                 self._eject(server, EJECT_FOR)
 
     def _unheard(self, attempt: _Attempt, patience: float) -> None:
@@ -314,7 +322,7 @@
 
     def _send(self, part: _Part, server: _Server, is_copy: bool = False) -> bool:
         query, kind, rules = part.query, part.query.kind, self.settings
-        over = query.over or part.done or self.now >= query.answer_by or part.made >= rules.most_attempts
+        over = query.over or part.done or self.now >= query.stop_at or part.made >= rules.most_attempts
         if over or not self._permitted(server) or (part.out and not rules.may_copy):
             return False
         # No effect twice: what may have run goes again if safe; if keyed, within its window less a tick.
@@ -337,7 +345,7 @@
         part.out.append(attempt)
         part.tried.append(server)
         self.copies_out += is_copy
-        self.actions.append(Send(part.arrived.id, server.listed.id, query.answer_by))
+        self.actions.append(Send(part.arrived.id, server.listed.id, query.stop_at))
         delay = query.latency.at(PERCENTILE)
         self._timer(SILENCE * delay, lambda: self._unheard(attempt, SILENCE * delay))
         if not is_copy and query.kind.semantics is Semantics.SAFE and rules.may_copy:
@@ -380,10 +388,17 @@
             del part.may_have_run[event.attempt]
         if event.outcome is Outcome.OK:
             self.finished.add(self.now)
+            self.mean += (event.latency - self.mean) / OUTCOMES
             self._judge(server, 0.0)
+            # Guards against slow servers, whatever all do: one that a copy overtook with a head start is slow.
+            for loser in part.out if attempt.is_copy and not part.done else ():
+                self._judge(loser.server, 1.0)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
             self.failures.add(self.now)
             self._judge(server, 1.0)
+        if event.outcome in (Outcome.OK, Outcome.REJECTED):
+            full = event.outcome is Outcome.REJECTED
+            self.pushback, self.pushed_at = self._pushback() + (full - self._pushback()) / OUTCOMES, self.now
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
             server.heard_at, server.reached = self.now, max(server.reached, attempt.call[0])
         if not part.done and event.outcome is Outcome.OK:
@@ -410,7 +425,9 @@
         answer_by = event.expires_at - 2 * self.settings.granularity
         aim = min(kind.deadline, kind.aim + (kind.aim_stretch or 0.0) * event.predicted_cost)
         aim_at = min(self.now + aim, answer_by)
-        query = _Query(event, kind, self.latency[event.query_class], aim_at, answer_by)
+        # Guards against jams of dead work: a part that can no longer be worth its time is not begun.
+        stop_at = aim_at + kind.late_worth * (answer_by - aim_at)
+        query = _Query(event, kind, self.latency[event.query_class], aim_at, answer_by, stop_at)
         self.queries[event.id] = self.by_number[event.number] = self.fresh[event.id] = query
         self.taken.add(self.now)
         self.tenants[event.tenant].add(self.now)
@@ -434,10 +451,18 @@
             self._give_up(query)
 
     def _delay(self, row: list[_Server] | None = None) -> float:
-        """Mean time of a part in these servers, or all in use, by Little's law over own calls."""
-        done, share = self.finished.get(self.now), self.ready / len(row) if row else 1.0
-        out = sum(sum(s.calls.values()) for s in row) if row else len(self.attempts)
-        return out * share * RATE_SPAN / done if done >= FEW else 0.0
+        """Mean time of a part: of the last outcomes and of what is overdue; in these servers, by own calls."""
+        overdue = 0.0
+        for attempt in self.attempts.values():
+            if self.now - attempt.call[0] <= self.mean:
+                break
+            overdue += attempt.live * min(self.now - attempt.call[0] - self.mean, self.mean)
+        delay = self.mean + overdue / OUTCOMES
+        out = sum(sum(s.calls.values()) for s in row) / len(row) if row else 0.0
+        return delay * (1 + out) / (1 + len(self.attempts) / self.ready) if row else delay
+
+    def _pushback(self) -> float:
+        return self.pushback * float(0.5 ** ((self.now - self.pushed_at) / RATE_SPAN))
 
     def _crowded(self, query: _Query, row: list[_Server]) -> bool:
         """Refuse what would miss its aim at the present delay; sooner, what is over its tenant's share."""
@@ -445,7 +470,9 @@
         asked = self.tenants[query.arrived.tenant].get(self.now) * self.settings.coordinators
         limit = ADMIT_OVER_SHARE if quota and asked > WINDOW * quota else ADMIT
         left = (query.aim_at - self.now) / (2 if query.kind.second_step_parts else 1)
-        return self._delay(row) > limit * left or any(self._backed_up(s, query) for s in row)
+        slow = self._delay(row) > limit * left or any(self._backed_up(s, query) for s in row)
+        # Guards against a jam that outlives its trigger: full queues answer fast and say nothing of the delay.
+        return slow or self._pushback() > PUSHED
 
     # ---- completion
 
