--- a/gingervane/benchlink.py
+++ b/gingervane/benchlink.py
@@ -143,6 +143,8 @@
             return struct.pack("<BQB", 76, query, whole)
         case api.Subscribe():
             return struct.pack("<BB", 74, 1)
+        case api.TellPeers(payload):
+            return struct.pack("<BIH", 71, 0xFFFFFFFF, len(payload)) + payload
         case api.Remark(text):
             raw = text.encode()
             return struct.pack("<BH", 72, len(raw)) + raw
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -211,10 +211,16 @@
     """Ask for membership changes to be pushed from now on."""
 
 
+class TellPeers(NamedTuple):
+    """A message to every other co-ordinator; it may be lost."""
+
+    payload: bytes
+
+
 class Remark(NamedTuple):
     """A line for the operators' log."""
 
     text: str
 
 
-Action = Send | Cancel | Answer | Refuse | Fail | SetTimer | Subscribe | Remark
+Action = Send | Cancel | Answer | Refuse | Fail | SetTimer | Subscribe | TellPeers | Remark
--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -17,8 +17,8 @@
 
 from gingervane.interface import (
     Action, Answer, AttemptEnded, Cancel, Event, Fail, ListKind, MembershipChanged, Outcome, PartArrived,
-    QueryArrived, QueryClass, QueryExpired, Refuse, Remark, Replica, ReplicaState, Semantics, Send, SetTimer,
-    Settings, Subscribe, TimerFired,
+    PeerMessage, QueryArrived, QueryClass, QueryExpired, Refuse, Remark, Replica, ReplicaState, Semantics,
+    Send, SetTimer, Settings, Subscribe, TellPeers, TimerFired,
 )
 
 WINDOW = 10.0  # span of the breaker and of the traffic counts (design page)
@@ -35,6 +35,8 @@
 ADMIT, ADMIT_OVER_SHARE = 0.5, 0.35  # of the aim: mean time in the servers at which queries are refused
 BACKLOG = 0.35  # of the time to the aim: age of a server's oldest call at which it gets no new part
 PUSHED = 0.3  # share of attempts turned away at which queries are refused
+HEARSAY = 0.34  # of a bad part: a peer's word
+ID, MOST_TOLD = 4, 64  # bytes of an id in a message to peers, and ids in one
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
 
 
@@ -126,7 +128,6 @@
     latency: _Percentile
     aim_at: float
     answer_by: float
-    stop_at: float
     parts: list[_Part] = field(default_factory=list)
     weight_in: float = 0.0
     step: int = 1
@@ -142,7 +143,8 @@
         self.now, self.batch, self.actions = 0.0, 0, list[Action]()
         self.servers, self.held_by, self.ready = dict[int, _Server](), dict[int, list[_Server]](), 0
         self.ejected, self.badness, self.mean = set[_Server](), 0.0, 0.0
-        self.pushback, self.pushed_at = 0.0, 0.0  # share of attempts turned away, fading while none is sent
+        self.tell = list[int]()
+        self.pushback, self.outcome_at = 0.0, 0.0  # share of attempts turned away
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts, self.fresh = dict[tuple[int, int], _Attempt](), dict[int, _Query]()
         self.timers, self.labels = dict[int, Callable[[], None]](), 0
@@ -167,13 +169,17 @@
             AttemptEnded: self._ended, MembershipChanged: self._members, QueryArrived: self._take_query,
             PartArrived: self._take_part, TimerFired: lambda e: self.timers.pop(e.label, lambda: None)(),
             QueryExpired: lambda e: self._close(self.queries[e.id]) if e.id in self.queries else None,
+            PeerMessage: self._told,
         }
         for event in events:
-            take.get(type(event), lambda e: None)(event)  # probes and peers are not asked
+            take.get(type(event), lambda e: None)(event)  # probes are not asked
         fresh, self.fresh = self.fresh, {}
         for started in fresh.values():
             if not started.over:
                 self._start(started)
+        if self.tell:
+            self.actions.append(TellPeers(b"".join(i.to_bytes(ID, "big") for i in self.tell[:MOST_TOLD])))
+            self.tell.clear()
         return self.actions
 
     def _timer(self, delay: float, then: Callable[[], None]) -> None:
@@ -221,10 +227,17 @@
 
     # ---- replica health: outlier ejection, probation, slow start
 
+    def _told(self, event: PeerMessage) -> None:
+        """Peers name servers that they found bad: a few such words make up for thin evidence of one's own."""
+        for at in range(0, len(event.payload) - len(event.payload) % ID, ID):
+            server = self.servers.get(int.from_bytes(event.payload[at : at + ID], "big"))
+            if server:
+                self._judge(server, HEARSAY)
+
     def _judge(self, server: _Server, bad: float) -> None:
         """Silence and any failure, full queues too, are bad parts; slowness shows in the calls out."""
         if server.ejected_for and bad and self.now >= server.ejected_until:
-            self._eject(server, min(2 * server.ejected_for, EJECT_MOST))
+            self._eject(server, min(2 * server.ejected_for, EJECT_MOST), bad)
         elif server.ejected_for and not bad:
             # What was silent for long may have restarted before the list says so: it starts slowly.
             if server.ejected_for > EJECT_FOR:
@@ -235,12 +248,11 @@
         elif not server.ejected_for:
             # Guards against thin evidence: good parts vouch for a server, but only for a while.
             fading = 0.5 ** ((self.now - server.judged_at) / VOUCH)
-            server.badness = max(server.badness * fading + (1.0 if bad else -0.5), -1.0)
-            server.judged_at = self.now
-            self.badness += (bad - self.badness) / OUTCOMES
+            server.badness, server.judged_at = max(server.badness * fading + (bad or -0.5), -1.0), self.now
+            self.badness += (bad - self.badness) / OUTCOMES if bad != HEARSAY else 0.0
             spare = len(self.ejected) + 1 <= MOST_EJECTED * self.ready
             if bad and spare and server.badness > EJECT_AT and self.badness < MOST_EJECTED:
-                self._eject(server, EJECT_FOR)
+                self._eject(server, EJECT_FOR, bad)
 
     def _unheard(self, attempt: _Attempt, patience: float) -> None:
         """A part still out after long patience counts against a server not heard from since it was sent."""
@@ -248,14 +260,12 @@
             self._judge(attempt.server, 1.0)
             self._timer(patience, lambda: self._unheard(attempt, patience))
 
-    def _eject(self, server: _Server, span: float) -> None:
+    def _eject(self, server: _Server, span: float, bad: float) -> None:
         server.ejected_for, server.ejected_until = span, self.now + span
         self.ejected.add(server)
         self.actions.append(Remark(f"replica {server.listed.id} ejected for {span:g} s"))
-        # Guards the parts stranded on it: cancelling turns each into a retry elsewhere.
-        for attempt in self.attempts.values():
-            if attempt.server is server and len(attempt.part.out) == 1 and not attempt.part.done:
-                self._cancel(attempt)
+        if bad != HEARSAY and self.settings.may_message_peers:  # hearsay is not passed on
+            self.tell.append(server.listed.id)
 
     def _share(self, server: _Server) -> float:
         """How much of its capacity a server surely has, by the stated ramp."""
@@ -300,7 +310,7 @@
         return server if self._fit(server, part.query) else self._substitute(part)
 
     def _position(self, parts: list[_Part]) -> list[_Server] | None:
-        """The servers of the position with the fewest calls out, counting those that this query adds."""
+        """The servers of the position with the fewest calls out, as its parts would meet them."""
         holders, spare = [self._holders(p) for p in parts], dict[int, _Server | None]()
         rows = list[tuple[int, int, float, list[_Server]]]()
         for j in range(max(map(len, holders)) if all(holders) else 0):
@@ -312,8 +322,7 @@
                 if server is None:
                     return None  # no holder may be sent to
                 row.append(server)
-            batch = self.settings.parts_per_call
-            calls = sum(n * len(s.calls) - (-n // batch) for s, n in Counter(row).items())
+            calls = sum(len(s.calls) for s in row)
             # Guards against hot spots: many co-ordinators with nothing out must not all take one position.
             rows.append((calls, sum(s.listed.zone != self.zone for s in row), self.random.random(), row))
         return min(rows, key=lambda r: r[:3])[3] if rows else None
@@ -322,7 +331,7 @@
 
     def _send(self, part: _Part, server: _Server, is_copy: bool = False) -> bool:
         query, kind, rules = part.query, part.query.kind, self.settings
-        over = query.over or part.done or self.now >= query.stop_at or part.made >= rules.most_attempts
+        over = query.over or part.done or self.now >= query.answer_by or part.made >= rules.most_attempts
         if over or not self._permitted(server) or (part.out and not rules.may_copy):
             return False
         # No effect twice: what may have run goes again if safe; if keyed, within its window less a tick.
@@ -345,7 +354,7 @@
         part.out.append(attempt)
         part.tried.append(server)
         self.copies_out += is_copy
-        self.actions.append(Send(part.arrived.id, server.listed.id, query.stop_at))
+        self.actions.append(Send(part.arrived.id, server.listed.id, query.answer_by))
         delay = query.latency.at(PERCENTILE)
         self._timer(SILENCE * delay, lambda: self._unheard(attempt, SILENCE * delay))
         if not is_copy and query.kind.semantics is Semantics.SAFE and rules.may_copy:
@@ -388,7 +397,6 @@
             del part.may_have_run[event.attempt]
         if event.outcome is Outcome.OK:
             self.finished.add(self.now)
-            self.mean += (event.latency - self.mean) / OUTCOMES
             self._judge(server, 0.0)
             # Guards against slow servers, whatever all do: one that a copy overtook with a head start is slow.
             for loser in part.out if attempt.is_copy and not part.done else ():
@@ -398,13 +406,25 @@
             self._judge(server, 1.0)
         if event.outcome in (Outcome.OK, Outcome.REJECTED):
             full = event.outcome is Outcome.REJECTED
-            self.pushback, self.pushed_at = self._pushback() + (full - self._pushback()) / OUTCOMES, self.now
+            self.pushback = self._fade(self.pushback)
+            self.pushback += (full - self.pushback) / OUTCOMES
+            if not full:
+                self.mean = self._fade(self.mean)
+                self.mean += (event.latency - self.mean) / OUTCOMES
+            self.outcome_at = self.now
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
             server.heard_at, server.reached = self.now, max(server.reached, attempt.call[0])
         if not part.done and event.outcome is Outcome.OK:
             self._won(part)
-        elif not part.done and not part.out:
-            # A failed part is tried again elsewhere, which is no copy; with no way left, all is given up.
+        elif event.outcome is Outcome.REJECTED and part.made < self.settings.most_attempts:
+            # Guards against storms on full queues: the next try waits for room.
+            self._timer(part.made * part.query.latency.at(0.5), lambda: self._retry(part))
+        else:
+            self._retry(part)
+
+    def _retry(self, part: _Part) -> None:
+        """A failed part is tried again elsewhere, which is no copy; with no way left, all is given up."""
+        if not part.done and not part.out:
             other = self._substitute(part)
             if other is None or not self._send(part, other):
                 self._give_up(part.query)
@@ -425,9 +445,7 @@
         answer_by = event.expires_at - 2 * self.settings.granularity
         aim = min(kind.deadline, kind.aim + (kind.aim_stretch or 0.0) * event.predicted_cost)
         aim_at = min(self.now + aim, answer_by)
-        # Guards against jams of dead work: a part that can no longer be worth its time is not begun.
-        stop_at = aim_at + kind.late_worth * (answer_by - aim_at)
-        query = _Query(event, kind, self.latency[event.query_class], aim_at, answer_by, stop_at)
+        query = _Query(event, kind, self.latency[event.query_class], aim_at, answer_by)
         self.queries[event.id] = self.by_number[event.number] = self.fresh[event.id] = query
         self.taken.add(self.now)
         self.tenants[event.tenant].add(self.now)
@@ -457,12 +475,13 @@
             if self.now - attempt.call[0] <= self.mean:
                 break
             overdue += attempt.live * min(self.now - attempt.call[0] - self.mean, self.mean)
-        delay = self.mean + overdue / OUTCOMES
+        delay = self._fade(self.mean) + overdue / OUTCOMES
         out = sum(sum(s.calls.values()) for s in row) / len(row) if row else 0.0
         return delay * (1 + out) / (1 + len(self.attempts) / self.ready) if row else delay
 
-    def _pushback(self) -> float:
-        return self.pushback * float(0.5 ** ((self.now - self.pushed_at) / RATE_SPAN))
+    def _fade(self, value: float) -> float:
+        """Guards against refusing for ever on old news: a value of the last outcomes fades while none come."""
+        return value * float(0.5 ** (max(self.now - self.outcome_at - self.mean, 0.0) / RATE_SPAN))
 
     def _crowded(self, query: _Query, row: list[_Server]) -> bool:
         """Refuse what would miss its aim at the present delay; sooner, what is over its tenant's share."""
@@ -472,7 +491,7 @@
         left = (query.aim_at - self.now) / (2 if query.kind.second_step_parts else 1)
         slow = self._delay(row) > limit * left or any(self._backed_up(s, query) for s in row)
         # Guards against a jam that outlives its trigger: full queues answer fast and say nothing of the delay.
-        return slow or self._pushback() > PUSHED
+        return slow or self._fade(self.pushback) > PUSHED
 
     # ---- completion
 
