--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -12,7 +12,7 @@
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from math import inf
+from math import inf, log
 from typing import Any
 
 from gingervane.interface import (
@@ -32,7 +32,7 @@
 SILENCE = 2.0  # hedge delays without a word from a server after which a part counts as unanswered
 OUTCOMES = 40  # over how many the mean time and the share turned away are taken
 RATE_SPAN = 2.0  # seconds over which answers are counted for the present delay
-ADMIT, ADMIT_OVER_SHARE = 0.5, 0.35  # of the aim: mean time in the servers at which queries are refused
+ADMIT, ADMIT_OVER_SHARE = 1.0, 0.7  # of the time to the aim: expected time of the slowest part
 BACKLOG = 0.35  # of the time to the aim: age of a server's oldest call at which it gets no new part
 PUSHED = 0.3  # share of attempts turned away at which queries are refused
 HEARSAY = 0.34  # of a bad part: a peer's word
@@ -489,7 +489,9 @@
         asked = self.tenants[query.arrived.tenant].get(self.now) * self.settings.coordinators
         limit = ADMIT_OVER_SHARE if quota and asked > WINDOW * quota else ADMIT
         left = (query.aim_at - self.now) / (2 if query.kind.second_step_parts else 1)
-        slow = self._delay(row) > limit * left or any(self._backed_up(s, query) for s in row)
+        # A wide query waits for the slowest of many: for exponential times, the harmonic number of means.
+        slowest = self._delay(row) * (0.58 + log(len(row) + 0.5))
+        slow = slowest > limit * left or any(self._backed_up(s, query) for s in row)
         # Guards against a jam that outlives its trigger: full queues answer fast and say nothing of the delay.
         return slow or self._fade(self.pushback) > PUSHED
 
