--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -252,7 +252,10 @@
             self.badness += (bad - self.badness) / OUTCOMES if bad != HEARSAY else 0.0
             spare = len(self.ejected) + 1 <= MOST_EJECTED * self.ready
             if bad and spare and server.badness > EJECT_AT and self.badness < MOST_EJECTED:
-                self._eject(server, EJECT_FOR, bad)
+                # Thin evidence: out for at least as long as the next part for it would take to come.
+                seers = self.settings.coordinators if self.settings.may_message_peers else 1
+                apart = self.ready * WINDOW / max(self.sent.get(self.now), 1) / seers
+                self._eject(server, min(max(EJECT_FOR, apart), EJECT_MOST), bad)
 
     def _unheard(self, attempt: _Attempt, patience: float) -> None:
         """A part still out after long patience counts against a server not heard from since it was sent."""
@@ -371,6 +374,7 @@
         queueing = self._delay() > HEDGE_UNTIL * part.query.kind.aim
         shut = queueing | self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
         server = self._substitute(part)
+        shut &= not attempt.server.ejected_for  # what an ejected server holds counts as failed, not as late
         if shut or self.copies_out >= COPY_CAP * len(self.attempts) or server is None:
             self._timer(latency.at(PERCENTILE), lambda: self._late(attempt))
         elif self._fit(server, part.query) and self._send(part, server, is_copy=True):
