--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -12,7 +12,7 @@
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from math import inf, log
+from math import inf, log, sqrt
 from typing import Any
 
 from gingervane.interface import (
@@ -32,7 +32,7 @@
 SILENCE = 2.0  # hedge delays without a word from a server after which a part counts as unanswered
 OUTCOMES = 40  # over how many the mean time and the share turned away are taken
 RATE_SPAN = 2.0  # seconds over which answers are counted for the present delay
-ADMIT, ADMIT_OVER_SHARE = 1.0, 0.7  # of the time to the aim: expected time of the slowest part
+ADMIT, ADMIT_OVER_SHARE = 0.9, 0.65  # of the time to the aim: expected time of the slowest part
 BACKLOG = 0.35  # of the time to the aim: age of a server's oldest call at which it gets no new part
 PUSHED = 0.3  # share of attempts turned away at which queries are refused
 HEARSAY = 0.34  # of a bad part: a peer's word
@@ -490,7 +490,9 @@
     def _crowded(self, query: _Query, row: list[_Server]) -> bool:
         """Refuse what would miss its aim at the present delay; sooner, what is over its tenant's share."""
         quota = dict(enumerate(self.settings.tenant_quotas)).get(query.arrived.tenant)
-        asked = self.tenants[query.arrived.tenant].get(self.now) * self.settings.coordinators
+        # Guards against thin evidence: a few queries by chance, times many co-ordinators, are no excess.
+        came = self.tenants[query.arrived.tenant].get(self.now)
+        asked = (came - 1.5 * sqrt(came)) * self.settings.coordinators
         limit = ADMIT_OVER_SHARE if quota and asked > WINDOW * quota else ADMIT
         left = (query.aim_at - self.now) / (2 if query.kind.second_step_parts else 1)
         # A wide query waits for the slowest of many: for exponential times, the harmonic number of means.
