--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -35,6 +35,7 @@
 ADMIT, ADMIT_OVER_SHARE = 0.9, 0.65  # of the time to the aim: expected time of the slowest part
 BACKLOG = 0.35  # of the time to the aim: age of a server's oldest call at which it gets no new part
 PUSHED = 0.3  # share of attempts turned away at which queries are refused
+CROSSING = 0.5  # calls out that a part's crossing to another zone weighs as much as
 HEARSAY = 0.34  # of a bad part: a peer's word
 ID, MOST_TOLD = 4, 64  # bytes of an id in a message to peers, and ids in one
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
@@ -315,20 +316,23 @@
     def _position(self, parts: list[_Part]) -> list[_Server] | None:
         """The servers of the position with the fewest calls out, as its parts would meet them."""
         holders, spare = [self._holders(p) for p in parts], dict[int, _Server | None]()
-        rows = list[tuple[int, int, float, list[_Server]]]()
-        for j in range(max(map(len, holders)) if all(holders) else 0):
+        rows = list[tuple[float, float, list[_Server]]]()
+        # Guards against the price of crossing: one row more, of holders in the own zone where there are any.
+        near = [[s for s in h if s.listed.zone == self.zone] or h for h in holders]
+        most = max(map(len, holders)) if all(holders) else 0
+        for j, of in [(j, holders) for j in range(most)] + ([(self.batch, near)] if near != holders else []):
             row = list[_Server]()
-            for i, (part, held) in enumerate(zip(parts, holders, strict=True)):
+            for i, (part, held) in enumerate(zip(parts, of, strict=True)):
                 server: _Server | None = held[j % len(held)]
                 if not self._fit(held[j % len(held)], part.query):
                     server = spare[i] if i in spare else spare.setdefault(i, self._substitute(part))
                 if server is None:
                     return None  # no holder may be sent to
                 row.append(server)
-            calls = sum(len(s.calls) for s in row)
+            calls = sum(len(s.calls) + CROSSING * (s.listed.zone != self.zone) for s in row)
             # Guards against hot spots: many co-ordinators with nothing out must not all take one position.
-            rows.append((calls, sum(s.listed.zone != self.zone for s in row), self.random.random(), row))
-        return min(rows, key=lambda r: r[:3])[3] if rows else None
+            rows.append((calls, self.random.random(), row))
+        return min(rows, key=lambda r: r[:2])[2] if rows and most else None
 
     # ---- the one path of every send, with the rules' guards
 
