--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -34,7 +34,6 @@
 RATE_SPAN = 2.0  # seconds over which answers are counted for the present delay
 ADMIT, ADMIT_OVER_SHARE = 0.9, 0.65  # of the time to the aim: expected time of the slowest part
 BACKLOG = 0.35  # of the time to the aim: age of a server's oldest call at which it gets no new part
-PUSHED = 0.3  # share of attempts turned away at which queries are refused
 CROSSING = 0.5  # calls out that a part's crossing to another zone weighs as much as
 HEARSAY = 0.34  # of a bad part: a peer's word
 ID, MOST_TOLD = 4, 64  # bytes of an id in a message to peers, and ids in one
@@ -145,7 +144,7 @@
         self.servers, self.held_by, self.ready = dict[int, _Server](), dict[int, list[_Server]](), 0
         self.ejected, self.badness, self.mean = set[_Server](), 0.0, 0.0
         self.tell = list[int]()
-        self.pushback, self.outcome_at = 0.0, 0.0  # share of attempts turned away
+        self.outcome_at = 0.0
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts, self.fresh = dict[tuple[int, int], _Attempt](), dict[int, _Query]()
         self.timers, self.labels = dict[int, Callable[[], None]](), 0
@@ -282,9 +281,14 @@
         if not server.ready or share == 1.0:
             return server.ready
         # Credit flows as ready servers answer, not as they are sent to: a retry storm must buy no more of it.
-        rate = max(self.finished.get(self.now) / RATE_SPAN / self.ready, 0.5 / self.settings.fall_time)
+        # Guards against many co-ordinators each with a whole part to send at once: all together, their floors
+        # allow half a part in the time of a fall, and each starts with a random share of its first part.
+        floor = 0.5 / self.settings.fall_time / self.settings.coordinators
+        rate = max(self.finished.get(self.now) / RATE_SPAN / self.ready, floor)
         gained = (self.now - server.credit_at) * rate * share
-        server.credit, server.credit_at = min(1.0, server.credit + gained), self.now
+        fresh = server.credit_at < server.cold_from
+        server.credit = self.random.random() if fresh else min(1.0, server.credit + gained)
+        server.credit_at = self.now
         return server.credit >= 1.0
 
     def _fit(self, server: _Server, query: _Query) -> bool:
@@ -414,12 +418,10 @@
             self._judge(server, 1.0)
         if event.outcome in (Outcome.OK, Outcome.REJECTED):
             full = event.outcome is Outcome.REJECTED
-            self.pushback = self._fade(self.pushback)
-            self.pushback += (full - self.pushback) / OUTCOMES
-            if not full:
-                self.mean = self._fade(self.mean)
-                self.mean += (event.latency - self.mean) / OUTCOMES
-            self.outcome_at = self.now
+            # Guards against a jam that outlives its trigger: full queues answer fast and tell no delay.
+            took = part.query.kind.aim if full else event.latency
+            self.mean, self.outcome_at = self._fade(self.mean), self.now
+            self.mean += (took - self.mean) / OUTCOMES
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
             server.heard_at, server.reached = self.now, max(server.reached, attempt.call[0])
         if not part.done and event.outcome is Outcome.OK:
@@ -502,8 +504,7 @@
         # A wide query waits for the slowest of many: for exponential times, the harmonic number of means.
         slowest = self._delay(row) * (0.58 + log(len(row) + 0.5))
         slow = slowest > limit * left or any(self._backed_up(s, query) for s in row)
-        # Guards against a jam that outlives its trigger: full queues answer fast and say nothing of the delay.
-        return slow or self._fade(self.pushback) > PUSHED
+        return slow
 
     # ---- completion
 
