--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -106,6 +106,7 @@
     server: _Server
     call: tuple[float, int, int]  # when it was sent, in which batch, and in which call of that
     is_copy: bool
+    met: int  # calls of earlier batches out there when it was sent
     live: bool = True  # neither ended nor called off
 
 
@@ -144,7 +145,7 @@
         self.servers, self.held_by, self.ready = dict[int, _Server](), dict[int, list[_Server]](), 0
         self.ejected, self.badness, self.mean = set[_Server](), 0.0, 0.0
         self.tell = list[int]()
-        self.outcome_at = 0.0
+        self.outcome_at = self.met = 0.0
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts, self.fresh = dict[tuple[int, int], _Attempt](), dict[int, _Query]()
         self.timers, self.labels = dict[int, Callable[[], None]](), 0
@@ -358,7 +359,7 @@
         server.credit = max(server.credit - 1.0, 0.0)
         call = (self.now, self.batch, self.call_now[server] // rules.parts_per_call)
         self.call_now[server] += 1
-        attempt = _Attempt(part, part.made, server, call, is_copy)
+        attempt = _Attempt(part, part.made, server, call, is_copy, sum(c[1] < self.batch for c in server.calls))
         server.calls[call] = server.calls.get(call, 0) + 1
         self.attempts[part.arrived.id, part.made] = attempt
         part.made += 1
@@ -422,6 +423,7 @@
             took = part.query.kind.aim if full else event.latency
             self.mean, self.outcome_at = self._fade(self.mean), self.now
             self.mean += (took - self.mean) / OUTCOMES
+            self.met += (attempt.met - self.met) / OUTCOMES
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
             server.heard_at, server.reached = self.now, max(server.reached, attempt.call[0])
         if not part.done and event.outcome is Outcome.OK:
@@ -485,9 +487,9 @@
             if self.now - attempt.call[0] <= self.mean:
                 break
             overdue += attempt.live * min(self.now - attempt.call[0] - self.mean, self.mean)
-        delay = self._fade(self.mean) + overdue / OUTCOMES
-        out = sum(sum(s.calls.values()) for s in row) / len(row) if row else 0.0
-        return delay * (1 + out) / (1 + len(self.attempts) / self.ready) if row else delay
+        # Guards against the lag of outcomes: scaled by the calls out now over those that the last ones met.
+        out = sum(len(s.calls) for s in row) / len(row) if row else len(self.attempts) / max(self.ready, 1)
+        return (self._fade(self.mean) + overdue / OUTCOMES) * (1 + out) / (1 + self.met)
 
     def _fade(self, value: float) -> float:
         """Guards against refusing for ever on old news: a value of the last outcomes fades while none come."""
