--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -91,7 +91,6 @@
     judged_at: float = 0.0
     ejected_until: float = 0.0
     ejected_for: float = 0.0  # 0: in good standing
-    heard_at: float = 0.0  # last word of any kind
     reached: float = 0.0  # send time of the latest part that it has answered
     cold_from: float = 0.0  # start of the slow-start ramp
     credit: float = 0.0  # parts that slow start allows now
@@ -249,7 +248,7 @@
         elif not server.ejected_for:
             # Guards against thin evidence: good parts vouch for a server, but only for a while.
             fading = 0.5 ** ((self.now - server.judged_at) / VOUCH)
-            server.badness, server.judged_at = max(server.badness * fading + (bad or -0.5), -1.0), self.now
+            server.badness, server.judged_at = max(server.badness * fading + (bad or -1.0), -1.0), self.now
             self.badness += (bad - self.badness) / OUTCOMES if bad != HEARSAY else 0.0
             spare = len(self.ejected) + 1 <= MOST_EJECTED * self.ready
             if bad and spare and server.badness > EJECT_AT and self.badness < MOST_EJECTED:
@@ -260,7 +259,7 @@
 
     def _unheard(self, attempt: _Attempt, patience: float) -> None:
         """A part still out after long patience counts against a server not heard from since it was sent."""
-        if attempt.live and attempt.server.heard_at <= attempt.call[0]:
+        if attempt.live and attempt.server.reached < attempt.call[0]:
             self._judge(attempt.server, 1.0)
             self._timer(patience, lambda: self._unheard(attempt, patience))
 
@@ -425,7 +424,7 @@
             self.mean += (took - self.mean) / OUTCOMES
             self.met += (attempt.met - self.met) / OUTCOMES
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
-            server.heard_at, server.reached = self.now, max(server.reached, attempt.call[0])
+            server.reached = max(server.reached, attempt.call[0])
         if not part.done and event.outcome is Outcome.OK:
             self._won(part)
         elif event.outcome is Outcome.REJECTED and part.made < self.settings.most_attempts:
@@ -482,14 +481,9 @@
 
     def _delay(self, row: list[_Server] | None = None) -> float:
         """Mean time of a part: of the last outcomes and of what is overdue; in these servers, by own calls."""
-        overdue = 0.0
-        for attempt in self.attempts.values():
-            if self.now - attempt.call[0] <= self.mean:
-                break
-            overdue += attempt.live * min(self.now - attempt.call[0] - self.mean, self.mean)
         # Guards against the lag of outcomes: scaled by the calls out now over those that the last ones met.
         out = sum(len(s.calls) for s in row) / len(row) if row else len(self.attempts) / max(self.ready, 1)
-        return (self._fade(self.mean) + overdue / OUTCOMES) * (1 + out) / (1 + self.met)
+        return self._fade(self.mean) * (1 + out) / (1 + self.met)
 
     def _fade(self, value: float) -> float:
         """Guards against refusing for ever on old news: a value of the last outcomes fades while none come."""
