--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -15,11 +15,7 @@
 from math import inf, log, sqrt
 from typing import Any
 
-from gingervane.interface import (
-    Action, Answer, AttemptEnded, Cancel, Event, Fail, ListKind, MembershipChanged, Outcome, PartArrived,
-    PeerMessage, QueryArrived, QueryClass, QueryExpired, Refuse, Remark, Replica, ReplicaState, Semantics,
-    Send, SetTimer, Settings, Subscribe, TellPeers, TimerFired,
-)
+from gingervane import interface as api
 
 WINDOW = 10.0  # span of the breaker and of the traffic counts (design page)
 PERCENTILE, SAMPLES, FEW = 0.95, 200, 20  # hedge delay: of the last SAMPLES latencies once there are FEW,
@@ -27,16 +23,14 @@
 BREAKER_OPENS, BREAKER_CLOSES = 0.15, 0.10  # copies over parts (design page); failures over parts too
 HEDGE_UNTIL = 0.2  # of the aim: mean time in the servers beyond which lateness is queueing, not a tail
 COPY_CAP = 0.25  # copies out at once, of the attempts out
-VOUCH, EJECT_AT, MOST_EJECTED = 2.0, 0.6, 0.5  # half-life of judgements, s; a bad part ejects unless vouched for
+VOUCH, EJECT_AT, MOST_EJECTED = 2.0, 0.6, 0.5  # half-life, s; a bad part ejects unless good ones vouch
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
-SILENCE = 2.0  # hedge delays without a word from a server after which a part counts as unanswered
-OUTCOMES = 40  # over how many the mean time and the share turned away are taken
-RATE_SPAN = 2.0  # seconds over which answers are counted for the present delay
+HEARSAY, ID, MOST_TOLD = 0.34, 4, 64  # a peer's word, of a bad part; bytes of an id, and ids in a message
+SILENCE = 2  # hedge delays after which a part that none overtook counts as unanswered
+OUTCOMES, RATE_SPAN = 40, 2.0  # for moving means; half-life, and span of the count for slow start, s
 ADMIT, ADMIT_OVER_SHARE = 0.9, 0.65  # of the time to the aim: expected time of the slowest part
 BACKLOG = 0.35  # of the time to the aim: age of a server's oldest call at which it gets no new part
 CROSSING = 0.5  # calls out that a part's crossing to another zone weighs as much as
-HEARSAY = 0.34  # of a bad part: a peer's word
-ID, MOST_TOLD = 4, 64  # bytes of an id in a message to peers, and ids in one
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
 
 
@@ -85,7 +79,7 @@
 
 @dataclass(eq=False)
 class _Server:
-    listed: Replica
+    listed: api.Replica
     calls: dict[tuple[float, int, int], int] = field(default_factory=dict)  # parts out by call, oldest first
     badness: float = 0.0  # parts that failed, met silence or were overtaken by a copy, less good ones
     judged_at: float = 0.0
@@ -107,11 +101,12 @@
     is_copy: bool
     met: int  # calls of earlier batches out there when it was sent
     live: bool = True  # neither ended nor called off
+    waits: int = 0  # hedge delays that it has been out
 
 
 @dataclass(eq=False)
 class _Part:
-    arrived: PartArrived
+    arrived: api.PartArrived
     query: _Query
     made: int = 0
     out: list[_Attempt] = field(default_factory=list)
@@ -123,8 +118,8 @@
 
 @dataclass(eq=False)
 class _Query:
-    arrived: QueryArrived
-    kind: QueryClass
+    arrived: api.QueryArrived
+    kind: api.QueryClass
     latency: _Percentile
     aim_at: float
     answer_by: float
@@ -138,19 +133,18 @@
 class Coordinator:
     """One co-ordinator's decisions, from its own settings and its own events alone."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.zone, self.random = settings, settings.zone, random.Random(seed)
-        self.now, self.batch, self.actions = 0.0, 0, list[Action]()
+        self.now, self.batch, self.actions = 0.0, 0, list[api.Action]()
         self.servers, self.held_by, self.ready = dict[int, _Server](), dict[int, list[_Server]](), 0
-        self.ejected, self.badness, self.mean = set[_Server](), 0.0, 0.0
+        self.badness = self.mean = self.outcome_at = self.met = 0.0  # moving means over the last OUTCOMES
         self.tell = list[int]()
-        self.outcome_at = self.met = 0.0
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts, self.fresh = dict[tuple[int, int], _Attempt](), dict[int, _Query]()
         self.timers, self.labels = dict[int, Callable[[], None]](), 0
         self.call_now = Counter[_Server]()  # parts sent in this batch
         self.latency = [_Percentile(c.aim) for c in settings.classes]
-        self.hedges, self.failures, self.copies_out = _Breaker(WINDOW), _Breaker(WINDOW), 0
+        self.hedges, self.failures = _Breaker(WINDOW), _Breaker(WINDOW)
         self.sent, self.finished = _Count(WINDOW), _Count(RATE_SPAN)
         # The budget's own counts lean a tick to the safe side at both ends.
         span, tick = settings.budget_span or 0.0, settings.granularity
@@ -159,17 +153,17 @@
         self.tenants = defaultdict[int, _Count](lambda: _Count(WINDOW))
         self.ask_pause = 0.0 if settings.must_ask_membership else ASK_PAUSE
 
-    def handle(self, now: float, events: Sequence[Event]) -> list[Action]:
+    def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         """Take one batch of events in order and say what to do."""
         self.now, self.actions, self.batch = now, [], self.batch + 1
         self.call_now.clear()
         if not self.ask_pause:
             self._subscribe()
         take: dict[type, Callable[[Any], None]] = {
-            AttemptEnded: self._ended, MembershipChanged: self._members, QueryArrived: self._take_query,
-            PartArrived: self._take_part, TimerFired: lambda e: self.timers.pop(e.label, lambda: None)(),
-            QueryExpired: lambda e: self._close(self.queries[e.id]) if e.id in self.queries else None,
-            PeerMessage: self._told,
+            api.AttemptEnded: self._ended, api.MembershipChanged: self._members, api.PeerMessage: self._told,
+            api.QueryArrived: self._take_query, api.PartArrived: self._take_part,
+            api.TimerFired: lambda e: self.timers.pop(e.label, lambda: None)(),
+            api.QueryExpired: lambda e: self._close(self.queries[e.id]) if e.id in self.queries else None,
         }
         for event in events:
             take.get(type(event), lambda e: None)(event)  # probes are not asked
@@ -178,56 +172,49 @@
             if not started.over:
                 self._start(started)
         if self.tell:
-            self.actions.append(TellPeers(b"".join(i.to_bytes(ID, "big") for i in self.tell[:MOST_TOLD])))
+            self.actions.append(api.TellPeers(b"".join(i.to_bytes(ID, "big") for i in self.tell[:MOST_TOLD])))
             self.tell.clear()
         return self.actions
 
     def _timer(self, delay: float, then: Callable[[], None]) -> None:
         self.labels += 1
         self.timers[self.labels] = then
-        self.actions.append(SetTimer(max(delay, 0.0), self.labels))
-
-    # ---- membership
+        self.actions.append(api.SetTimer(max(delay, 0.0), self.labels))
 
     def _subscribe(self) -> None:
         self.ask_pause = max(self.ask_pause, ASK_PAUSE)
-        self.actions.append(Subscribe())
+        self.actions.append(api.Subscribe())
 
-    def _members(self, event: MembershipChanged) -> None:
-        if event.kind is ListKind.FAILED:
+    def _members(self, event: api.MembershipChanged) -> None:
+        if event.kind is api.ListKind.FAILED:
             # Guards against counting as told by default: ask again, ever more slowly, out of step with peers.
             self._timer(self.ask_pause * self.random.uniform(0.5, 1.5), self._subscribe)
             self.ask_pause = min(2 * self.ask_pause, ASK_PAUSE_MOST)
             return
         self.ask_pause = ASK_PAUSE
-        if event.kind is not ListKind.DELTA:
+        if event.kind is not api.ListKind.DELTA:
             for server in self.servers.values():
-                server.listed, server.ready = server.listed._replace(state=ReplicaState.GONE), False
+                server.listed, server.ready = server.listed._replace(state=api.ReplicaState.GONE), False
         for replica in event.replicas:
             server = self.servers.setdefault(replica.id, _Server(replica))
             if replica.started_at > server.listed.started_at:  # restarted: a clean sheet, but cold
                 server.badness = server.ejected_for = 0.0
             server.cold_from = max(server.cold_from, replica.started_at)
-            server.listed, server.ready = replica, replica.state is ReplicaState.READY
+            server.listed, server.ready = replica, replica.state is api.ReplicaState.READY
         # Guards CPU: what the fleet's size decides is worked out once a list, not for each part.
         cells = defaultdict[int, list[_Server]](list)
         for server in self.servers.values():
-            if server.listed.state is not ReplicaState.GONE:
+            if server.listed.state is not api.ReplicaState.GONE:
                 cells[server.listed.cell].append(server)
         self.ready, n = sum(s.ready for s in self.servers.values()), self.settings.cells
-        self.ejected = {s for s in self.servers.values() if s.ready and s.ejected_for}
-        self.held_by = {
-            c: sorted((s for j in range(min(self.settings.width, n)) for s in cells.get((c + j) % n, ())),
-                      key=lambda s: s.listed.id)
-            for c in range(n)
-        }
+        for c in range(n):
+            held = [s for j in range(min(self.settings.width, n)) for s in cells[(c + j) % n]]
+            self.held_by[c] = sorted(held, key=lambda s: s.listed.id)
 
     def _holders(self, part: _Part) -> list[_Server]:
         return self.held_by.get(part.arrived.shard % self.settings.cells, [])
 
-    # ---- replica health: outlier ejection, probation, slow start
-
-    def _told(self, event: PeerMessage) -> None:
+    def _told(self, event: api.PeerMessage) -> None:
         """Peers name servers that they found bad: a few such words make up for thin evidence of one's own."""
         for at in range(0, len(event.payload) - len(event.payload) % ID, ID):
             server = self.servers.get(int.from_bytes(event.payload[at : at + ID], "big"))
@@ -235,51 +222,39 @@
                 self._judge(server, HEARSAY)
 
     def _judge(self, server: _Server, bad: float) -> None:
-        """Silence and any failure, full queues too, are bad parts; slowness shows in the calls out."""
-        if server.ejected_for and bad and self.now >= server.ejected_until:
-            self._eject(server, min(2 * server.ejected_for, EJECT_MOST), bad)
-        elif server.ejected_for and not bad:
+        """Bad parts, which failed, met silence or were overtaken by their copy, eject a server for a while."""
+        fading = 0.5 ** ((self.now - server.judged_at) / VOUCH)
+        if server.ejected_for and not bad:
             # What was silent for long may have restarted before the list says so: it starts slowly.
-            if server.ejected_for > EJECT_FOR:
-                server.cold_from = self.now
+            server.cold_from = self.now if server.ejected_for > EJECT_FOR else server.cold_from
             server.ejected_for = server.badness = 0.0
-            self.ejected.discard(server)
-            self.actions.append(Remark(f"replica {server.listed.id} reinstated"))
-        elif not server.ejected_for:
+            self.actions.append(api.Remark(f"replica {server.listed.id} reinstated"))
+        if server.ejected_for:
+            if self.now < server.ejected_until:
+                return
+            span = 2 * server.ejected_for
+        else:
             # Guards against thin evidence: good parts vouch for a server, but only for a while.
-            fading = 0.5 ** ((self.now - server.judged_at) / VOUCH)
             server.badness, server.judged_at = max(server.badness * fading + (bad or -1.0), -1.0), self.now
             self.badness += (bad - self.badness) / OUTCOMES if bad != HEARSAY else 0.0
-            spare = len(self.ejected) + 1 <= MOST_EJECTED * self.ready
-            if bad and spare and server.badness > EJECT_AT and self.badness < MOST_EJECTED:
-                # Thin evidence: out for at least as long as the next part for it would take to come.
-                seers = self.settings.coordinators if self.settings.may_message_peers else 1
-                apart = self.ready * WINDOW / max(self.sent.get(self.now), 1) / seers
-                self._eject(server, min(max(EJECT_FOR, apart), EJECT_MOST), bad)
-
-    def _unheard(self, attempt: _Attempt, patience: float) -> None:
-        """A part still out after long patience counts against a server not heard from since it was sent."""
-        if attempt.live and attempt.server.reached < attempt.call[0]:
-            self._judge(attempt.server, 1.0)
-            self._timer(patience, lambda: self._unheard(attempt, patience))
-
-    def _eject(self, server: _Server, span: float, bad: float) -> None:
-        server.ejected_for, server.ejected_until = span, self.now + span
-        self.ejected.add(server)
-        self.actions.append(Remark(f"replica {server.listed.id} ejected for {span:g} s"))
+            ejected = sum(s.ready and s.ejected_for > 0 for s in self.servers.values()) if bad else 0
+            common = self.badness >= MOST_EJECTED or ejected + 1 > MOST_EJECTED * self.ready
+            if not bad or common or server.badness <= EJECT_AT:
+                return
+            # Out for at least as long as the next part for it would take to come, to those who would tell.
+            seers = self.settings.coordinators if self.settings.may_message_peers else 1
+            span = max(EJECT_FOR, self.ready * WINDOW / max(self.sent.get(self.now), 1) / seers)
+        server.ejected_for, server.ejected_until = min(span, EJECT_MOST), self.now + min(span, EJECT_MOST)
+        self.actions.append(api.Remark(f"replica {server.listed.id} ejected for {server.ejected_for:g} s"))
         if bad != HEARSAY and self.settings.may_message_peers:  # hearsay is not passed on
             self.tell.append(server.listed.id)
 
-    def _share(self, server: _Server) -> float:
-        """How much of its capacity a server surely has, by the stated ramp."""
-        start, age = self.settings.start_capacity, self.now - server.cold_from
-        return min(1.0, start + (1.0 - start) * max(age, 0.0) / self.settings.ramp_time)
-
     def _permitted(self, server: _Server) -> bool:
         """May be sent to at all: neither draining nor gone nor cold beyond its pace."""
-        share = self._share(server)
-        if not server.ready or share == 1.0:
+        start, age = self.settings.start_capacity, max(self.now - server.cold_from, 0.0)
+        if not server.ready or age >= self.settings.ramp_time:
             return server.ready
+        share = start + (1.0 - start) * age / self.settings.ramp_time  # surely there, by the stated ramp
         # Credit flows as ready servers answer, not as they are sent to: a retry storm must buy no more of it.
         # Guards against many co-ordinators each with a whole part to send at once: all together, their floors
         # allow half a part in the time of a fall, and each starts with a random share of its first part.
@@ -302,8 +277,6 @@
         oldest = next((c[0] for c in server.calls if c[0] > server.reached), self.now)
         return self.now - oldest > BACKLOG * (query.aim_at - self.now)
 
-    # ---- replica choice: the position rule
-
     def _substitute(self, part: _Part) -> _Server | None:
         """Another holder: fit and untried, else fit, else any that is permitted."""
         running = [a.server for a in part.out]
@@ -314,9 +287,6 @@
         others = [s for s in self._holders(part) if self._permitted(s) and s not in running]
         return min(others, key=rank) if others else None
 
-    def _stand_in(self, part: _Part, server: _Server) -> _Server | None:
-        return server if self._fit(server, part.query) else self._substitute(part)
-
     def _position(self, parts: list[_Part]) -> list[_Server] | None:
         """The servers of the position with the fewest calls out, as its parts would meet them."""
         holders, spare = [self._holders(p) for p in parts], dict[int, _Server | None]()
@@ -338,15 +308,14 @@
             rows.append((calls, self.random.random(), row))
         return min(rows, key=lambda r: r[:2])[2] if rows and most else None
 
-    # ---- the one path of every send, with the rules' guards
-
     def _send(self, part: _Part, server: _Server, is_copy: bool = False) -> bool:
         query, kind, rules = part.query, part.query.kind, self.settings
         over = query.over or part.done or self.now >= query.answer_by or part.made >= rules.most_attempts
         if over or not self._permitted(server) or (part.out and not rules.may_copy):
             return False
         # No effect twice: what may have run goes again if safe; if keyed, within its window less a tick.
-        window = {Semantics.SAFE: inf, Semantics.UNSAFE: 0.0}.get(kind.semantics, kind.repeat_window or 0.0)
+        known = {api.Semantics.SAFE: inf, api.Semantics.UNSAFE: 0.0}
+        window = known.get(kind.semantics, kind.repeat_window or 0.0)
         if part.may_have_run and self.now >= min(part.may_have_run.values()) + window - rules.granularity:
             return False
         allowed = self.free + (rules.budget_share or 0.0) * self.taken.get(self.now)
@@ -358,44 +327,37 @@
         server.credit = max(server.credit - 1.0, 0.0)
         call = (self.now, self.batch, self.call_now[server] // rules.parts_per_call)
         self.call_now[server] += 1
-        attempt = _Attempt(part, part.made, server, call, is_copy, sum(c[1] < self.batch for c in server.calls))
+        met = sum(c[1] < self.batch for c in server.calls)
+        attempt = _Attempt(part, part.made, server, call, is_copy, met)
         server.calls[call] = server.calls.get(call, 0) + 1
         self.attempts[part.arrived.id, part.made] = attempt
         part.made += 1
         part.out.append(attempt)
         part.tried.append(server)
-        self.copies_out += is_copy
-        self.actions.append(Send(part.arrived.id, server.listed.id, query.answer_by))
-        delay = query.latency.at(PERCENTILE)
-        self._timer(SILENCE * delay, lambda: self._unheard(attempt, SILENCE * delay))
-        if not is_copy and query.kind.semantics is Semantics.SAFE and rules.may_copy:
-            self._timer(delay, lambda: self._late(attempt))
+        self.actions.append(api.Send(part.arrived.id, server.listed.id, query.answer_by))
+        self._timer(query.latency.at(PERCENTILE), lambda: self._late(attempt))
         return True
 
-    # ---- hedging
-
     def _late(self, attempt: _Attempt) -> None:
         """The hedge timer: one copy, if the part is still out and a copy can come in before the aim."""
-        part, latency, parts = attempt.part, attempt.part.query.latency, self.sent.get(self.now)
-        if not attempt.live or len(part.out) > 1 or self.now + latency.at(0.5) > part.query.aim_at:
+        part, query, latency = attempt.part, attempt.part.query, attempt.part.query.latency
+        if not attempt.live:
             return
-        queueing = self._delay() > HEDGE_UNTIL * part.query.kind.aim
-        shut = queueing | self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
-        server = self._substitute(part)
+        self._timer(latency.at(PERCENTILE), lambda: self._late(attempt))
+        attempt.waits += 1
+        if attempt.waits % SILENCE == 0 and attempt.server.reached < attempt.call[0]:
+            self._judge(attempt.server, 1.0)  # silence: no part sent as late or later has been answered
+        in_time = self.now + latency.at(0.5) <= query.aim_at and query.kind.semantics is api.Semantics.SAFE
+        parts, copies = self.sent.get(self.now), sum(a.is_copy for a in self.attempts.values())
+        shut = self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
+        shut |= self._delay() > HEDGE_UNTIL * query.kind.aim
         shut &= not attempt.server.ejected_for  # what an ejected server holds counts as failed, not as late
-        if shut or self.copies_out >= COPY_CAP * len(self.attempts) or server is None:
-            self._timer(latency.at(PERCENTILE), lambda: self._late(attempt))
-        elif self._fit(server, part.query) and self._send(part, server, is_copy=True):
-            self.hedges.add(self.now)
+        if in_time and not shut and len(part.out) == 1 and copies < COPY_CAP * len(self.attempts):
+            server = self._substitute(part)
+            if server and self._fit(server, query) and self._send(part, server, is_copy=True):
+                self.hedges.add(self.now)
 
-    def _cancel(self, attempt: _Attempt) -> None:
-        if self.settings.may_cancel and attempt.live:
-            attempt.live = False
-            self.actions.append(Cancel(attempt.part.arrived.id, attempt.number))
-
-    # ---- outcomes and retries
-
-    def _ended(self, event: AttemptEnded) -> None:
+    def _ended(self, event: api.AttemptEnded) -> None:
         attempt = self.attempts.pop((event.part, event.attempt), None)
         if attempt is None:
             return
@@ -403,31 +365,33 @@
         server.calls[attempt.call] -= 1
         if not server.calls[attempt.call]:
             del server.calls[attempt.call]
-        self.copies_out -= attempt.is_copy
         part.out.remove(attempt)
         if event.outcome.never_ran:
             del part.may_have_run[event.attempt]
-        if event.outcome is Outcome.OK:
+        if event.outcome is api.Outcome.OK:
             self.finished.add(self.now)
             self._judge(server, 0.0)
-            # Guards against slow servers, whatever all do: one that a copy overtook with a head start is slow.
+            # Guards against slow servers, whatever all do: one that a copy overtook in spite of its start.
             for loser in part.out if attempt.is_copy and not part.done else ():
                 self._judge(loser.server, 1.0)
-        elif event.outcome not in (Outcome.CANCELLED, Outcome.NEVER_SENT):
+        elif event.outcome not in (api.Outcome.CANCELLED, api.Outcome.NEVER_SENT):
             self.failures.add(self.now)
             self._judge(server, 1.0)
-        if event.outcome in (Outcome.OK, Outcome.REJECTED):
-            full = event.outcome is Outcome.REJECTED
-            # Guards against a jam that outlives its trigger: full queues answer fast and tell no delay.
-            took = part.query.kind.aim if full else event.latency
-            self.mean, self.outcome_at = self._fade(self.mean), self.now
-            self.mean += (took - self.mean) / OUTCOMES
-            self.met += (attempt.met - self.met) / OUTCOMES
-        if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
+        if event.outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.REJECTED):
             server.reached = max(server.reached, attempt.call[0])
-        if not part.done and event.outcome is Outcome.OK:
-            self._won(part)
-        elif event.outcome is Outcome.REJECTED and part.made < self.settings.most_attempts:
+            # Guards against a jam that outlives its trigger: full queues answer fast and tell no delay.
+            took = part.query.kind.aim if event.outcome is api.Outcome.REJECTED else event.latency
+            self.mean = self._mean() + (took - self._mean()) / OUTCOMES
+            self.outcome_at, self.met = self.now, self.met + (attempt.met - self.met) / OUTCOMES
+        query = part.query
+        if not part.done and event.outcome is api.Outcome.OK:
+            query.latency.add(self.now - part.first_sent)
+            self._drop([part])
+            query.weight_in += part.arrived.weight
+            enough = query.step == 1 and query.kind.whole_share < 1.0 and query.weight_in >= query.kind.whole_share
+            if enough or all(p.done for p in query.parts):
+                self._answer(query, True)
+        elif event.outcome is api.Outcome.REJECTED and part.made < self.settings.most_attempts:
             # Guards against storms on full queues: the next try waits for room.
             self._timer(part.made * part.query.latency.at(0.5), lambda: self._retry(part))
         else:
@@ -440,18 +404,7 @@
             if other is None or not self._send(part, other):
                 self._give_up(part.query)
 
-    def _won(self, part: _Part) -> None:
-        query, kind = part.query, part.query.kind
-        query.latency.add(self.now - part.first_sent)
-        self._drop([part])
-        query.weight_in += part.arrived.weight
-        enough = query.step == 1 and kind.whole_share < 1.0 and query.weight_in >= kind.whole_share
-        if enough or all(p.done for p in query.parts):
-            self._answer(query, True)
-
-    # ---- admission
-
-    def _take_query(self, event: QueryArrived) -> None:
+    def _take_query(self, event: api.QueryArrived) -> None:
         kind = self.settings.classes[event.query_class]
         answer_by = event.expires_at - 2 * self.settings.granularity
         aim = min(kind.deadline, kind.aim + (kind.aim_stretch or 0.0) * event.predicted_cost)
@@ -462,7 +415,7 @@
         self.tenants[event.tenant].add(self.now)
         self._timer(answer_by - self.now, lambda: self._overdue(query))
 
-    def _take_part(self, event: PartArrived) -> None:
+    def _take_part(self, event: api.PartArrived) -> None:
         self.taken.add(self.now)
         query = self.by_number.get(event.query_number)
         if query:
@@ -474,20 +427,19 @@
         admitted = row is not None and (query.step == 2 or not self._crowded(query, row))
         for part, server in zip(query.parts, row or (), strict=row is not None):
             # Two parts of one query can spend a cold server's credit: the second goes elsewhere.
-            other = self._stand_in(part, server) if admitted else None
-            admitted = other is not None and self._send(part, other)
+            other = server if self._fit(server, query) else self._substitute(part)
+            admitted = admitted and other is not None and self._send(part, other)
         if not admitted:
             self._give_up(query)
 
+    def _mean(self) -> float:
+        """Guards against refusing for ever on old news: the mean time fades while no outcomes come."""
+        return self.mean * float(0.5 ** (max(self.now - self.outcome_at - self.mean, 0.0) / RATE_SPAN))
+
     def _delay(self, row: list[_Server] | None = None) -> float:
-        """Mean time of a part: of the last outcomes and of what is overdue; in these servers, by own calls."""
-        # Guards against the lag of outcomes: scaled by the calls out now over those that the last ones met.
+        """Mean time of a part in these servers or all: of the last outcomes, by the calls out now over those met."""
         out = sum(len(s.calls) for s in row) / len(row) if row else len(self.attempts) / max(self.ready, 1)
-        return self._fade(self.mean) * (1 + out) / (1 + self.met)
-
-    def _fade(self, value: float) -> float:
-        """Guards against refusing for ever on old news: a value of the last outcomes fades while none come."""
-        return value * float(0.5 ** (max(self.now - self.outcome_at - self.mean, 0.0) / RATE_SPAN))
+        return self._mean() * (1 + out) / (1 + self.met)
 
     def _crowded(self, query: _Query, row: list[_Server]) -> bool:
         """Refuse what would miss its aim at the present delay; sooner, what is over its tenant's share."""
@@ -499,13 +451,10 @@
         left = (query.aim_at - self.now) / (2 if query.kind.second_step_parts else 1)
         # A wide query waits for the slowest of many: for exponential times, the harmonic number of means.
         slowest = self._delay(row) * (0.58 + log(len(row) + 0.5))
-        slow = slowest > limit * left or any(self._backed_up(s, query) for s in row)
-        return slow
-
-    # ---- completion
+        return slowest > limit * left or any(self._backed_up(s, query) for s in row)
 
     def _answer(self, query: _Query, whole: bool) -> None:
-        self.actions.append(Answer(query.arrived.id, whole and query.first_whole))
+        self.actions.append(api.Answer(query.arrived.id, whole and query.first_whole))
         if query.kind.second_step_parts and query.step == 1:
             self._drop(query.parts)
             query.step, query.first_whole, query.weight_in, query.parts = 2, whole, 0.0, []
@@ -521,12 +470,12 @@
 
     def _give_up(self, query: _Query) -> None:
         """The final answer at once: refused with a time to come again where that is harmless, else failed."""
-        harmless = query.kind.semantics is Semantics.SAFE or not any(p.may_have_run for p in query.parts)
+        harmless = query.kind.semantics is api.Semantics.SAFE or not any(p.may_have_run for p in query.parts)
         if harmless and query.step == 1:
             wait = min(self.settings.longest_wait_advice, max(self._delay(), self.settings.granularity))
-            self.actions.append(Refuse(query.arrived.id, wait if self.settings.may_advise_wait else 0.0))
+            self.actions.append(api.Refuse(query.arrived.id, wait if self.settings.may_advise_wait else 0.0))
         else:
-            self.actions.append(Fail(query.arrived.id))
+            self.actions.append(api.Fail(query.arrived.id))
         self._close(query)
 
     def _close(self, query: _Query) -> None:
@@ -538,4 +487,6 @@
         for part in parts:
             part.done = True
             for attempt in part.out:
-                self._cancel(attempt)
+                if self.settings.may_cancel and attempt.live:
+                    attempt.live = False
+                    self.actions.append(api.Cancel(part.arrived.id, attempt.number))
