--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -1,34 +1,32 @@
 """Every decision of a gingervane co-ordinator. Types, events and actions: `gingervane/interface.py`.
 
-Ordinary path: a query takes the replica position with the fewest of this co-ordinator's calls out; a safe
-part late by its class's 95th percentile gets one copy; the first good answer wins, the twin is cancelled; a
-breaker on the share of copies pauses copying. All else is an exception: docs/design.md says when it acts.
+Ordinary path: a query takes the replica position with the fewest calls out; a safe part late by its class's
+95th percentile gets one copy; the first good answer wins, the twin is cancelled; a breaker on the share of
+copies pauses copying. All else is an exception: docs/design.md says when it acts.
 """
 
 from __future__ import annotations
 
 import random
-from bisect import bisect_left, insort
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from math import inf, log, sqrt
-from typing import Any
 
 from gingervane import interface as api
 
 WINDOW = 10.0  # span of the breaker and of the traffic counts (design page)
-PERCENTILE, SAMPLES, FEW = 0.95, 200, 20  # hedge delay: of the last SAMPLES latencies once there are FEW,
-START_DELAY = 0.5  # and of the aim until then (design page)
+PERCENTILE, SAMPLES = 0.95, 200  # hedge delay, of the class's last latencies; and of the aim until there are
+START_DELAY, FEW = 0.5, 20  # FEW of them (design page)
 BREAKER_OPENS, BREAKER_CLOSES = 0.15, 0.10  # copies over parts (design page); failures over parts too
-HEDGE_UNTIL = 0.2  # of the aim: mean time in the servers beyond which lateness is queueing, not a tail
-COPY_CAP = 0.25  # copies out at once, of the attempts out
+HEDGE_UNTIL, COPY_CAP = 0.2, 0.25  # mean time, of the aim, up to which to copy; copies, of the attempts out
 VOUCH, EJECT_AT, MOST_EJECTED = 2.0, 0.6, 0.5  # half-life, s; a bad part ejects unless good ones vouch
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
-HEARSAY, ID, MOST_TOLD = 0.34, 4, 64  # a peer's word, of a bad part; bytes of an id, and ids in a message
-SILENCE = 2  # hedge delays after which a part that none overtook counts as unanswered
+HEARSAY, ID = 0.34, 8  # a peer's word, as a share of a bad part; bytes of an id in it
+SILENCE = 2  # hedge delays after which a part that no later one overtook counts as unanswered
 OUTCOMES, RATE_SPAN = 40, 2.0  # for moving means; half-life, and span of the count for slow start, s
 ADMIT, ADMIT_OVER_SHARE = 0.9, 0.65  # of the time to the aim: expected time of the slowest part
+CHANCE = 1.5  # standard deviations by which what came may pass a share by chance
 BACKLOG = 0.35  # of the time to the aim: age of a server's oldest call at which it gets no new part
 CROSSING = 0.5  # calls out that a part's crossing to another zone weighs as much as
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
@@ -38,7 +36,7 @@
     """How many things happened in the last `span` seconds."""
 
     def __init__(self, span: float) -> None:
-        self.span, self.at = span, deque[float]()
+        self.span, self.at, self.open = span, deque[float](), False
 
     def add(self, now: float) -> None:
         self.at.append(now)
@@ -48,35 +46,13 @@
             self.at.popleft()
         return len(self.at)
 
-
-class _Breaker(_Count):
-    """Open from `BREAKER_OPENS` marks a part until under `BREAKER_CLOSES`."""
-
-    open = False
-
     def is_open(self, now: float, parts: int) -> bool:
+        """As a breaker: open from `BREAKER_OPENS` things a part until under `BREAKER_CLOSES`."""
         share = self.get(now) / max(parts, FEW)
         self.open = share > (BREAKER_CLOSES if self.open else BREAKER_OPENS)
         return self.open
 
 
-class _Percentile:
-    """Last latencies, of parts and not of attempts: cancelled twins would hide the tail."""
-
-    def __init__(self, aim: float) -> None:
-        self.aim, self.recent, self.ranked = aim, deque[float](), list[float]()
-
-    def add(self, latency: float) -> None:
-        self.recent.append(latency)
-        insort(self.ranked, latency)
-        if len(self.recent) > SAMPLES:
-            del self.ranked[bisect_left(self.ranked, self.recent.popleft())]
-
-    def at(self, share: float) -> float:
-        few = len(self.ranked) < FEW
-        return self.aim * START_DELAY if few else self.ranked[int(share * (len(self.ranked) - 1))]
-
-
 @dataclass(eq=False)
 class _Server:
     listed: api.Replica
@@ -108,10 +84,10 @@
 class _Part:
     arrived: api.PartArrived
     query: _Query
+    first_sent: float
     made: int = 0
     out: list[_Attempt] = field(default_factory=list)
     tried: list[_Server] = field(default_factory=list)
-    first_sent: float = 0.0
     may_have_run: dict[int, float] = field(default_factory=dict)  # attempt -> sent; unless proved not to
     done: bool = False
 
@@ -120,7 +96,7 @@
 class _Query:
     arrived: api.QueryArrived
     kind: api.QueryClass
-    latency: _Percentile
+    latency: deque[float]  # of its class: the last latencies
     aim_at: float
     answer_by: float
     parts: list[_Part] = field(default_factory=list)
@@ -136,44 +112,40 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.zone, self.random = settings, settings.zone, random.Random(seed)
         self.now, self.batch, self.actions = 0.0, 0, list[api.Action]()
-        self.servers, self.held_by, self.ready = dict[int, _Server](), dict[int, list[_Server]](), 0
+        self.servers, self.ready = dict[int, _Server](), 0
+        self.held_by = defaultdict[int, list[_Server]](list)  # by cell: holders of its shards in order of id
         self.badness = self.mean = self.outcome_at = self.met = 0.0  # moving means over the last OUTCOMES
-        self.tell = list[int]()
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts, self.fresh = dict[tuple[int, int], _Attempt](), dict[int, _Query]()
         self.timers, self.labels = dict[int, Callable[[], None]](), 0
         self.call_now = Counter[_Server]()  # parts sent in this batch
-        self.latency = [_Percentile(c.aim) for c in settings.classes]
-        self.hedges, self.failures = _Breaker(WINDOW), _Breaker(WINDOW)
-        self.sent, self.finished = _Count(WINDOW), _Count(RATE_SPAN)
+        self.latency = [deque[float](maxlen=SAMPLES) for c in settings.classes]
+        self.hedges, self.failures, self.sent = _Count(WINDOW), _Count(WINDOW), _Count(WINDOW)
+        self.finished = _Count(RATE_SPAN)
         # The budget's own counts lean a tick to the safe side at both ends.
         span, tick = settings.budget_span or 0.0, settings.granularity
-        self.free = inf if settings.budget_free is None else settings.budget_free
         self.extras, self.taken = _Count(span + tick), _Count(span - tick)
         self.tenants = defaultdict[int, _Count](lambda: _Count(WINDOW))
-        self.ask_pause = 0.0 if settings.must_ask_membership else ASK_PAUSE
-
-    def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
-        """Take one batch of events in order and say what to do."""
-        self.now, self.actions, self.batch = now, [], self.batch + 1
-        self.call_now.clear()
-        if not self.ask_pause:
-            self._subscribe()
-        take: dict[type, Callable[[Any], None]] = {
+        self.ask_pause = ASK_PAUSE
+        self.take: dict[type, Callable[..., None]] = {
             api.AttemptEnded: self._ended, api.MembershipChanged: self._members, api.PeerMessage: self._told,
             api.QueryArrived: self._take_query, api.PartArrived: self._take_part,
             api.TimerFired: lambda e: self.timers.pop(e.label, lambda: None)(),
             api.QueryExpired: lambda e: self._close(self.queries[e.id]) if e.id in self.queries else None,
         }
+
+    def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
+        """Take one batch of events in order and say what to do."""
+        self.now, self.actions, self.batch = now, [], self.batch + 1
+        self.call_now.clear()
+        if self.batch == 1 and self.settings.must_ask_membership:
+            self.actions.append(api.Subscribe())
         for event in events:
-            take.get(type(event), lambda e: None)(event)  # probes are not asked
+            if type(event) in self.take:  # probes are not asked
+                self.take[type(event)](event)
         fresh, self.fresh = self.fresh, {}
-        for started in fresh.values():
-            if not started.over:
-                self._start(started)
-        if self.tell:
-            self.actions.append(api.TellPeers(b"".join(i.to_bytes(ID, "big") for i in self.tell[:MOST_TOLD])))
-            self.tell.clear()
+        for started in [q for q in fresh.values() if not q.over]:
+            self._start(started)
         return self.actions
 
     def _timer(self, delay: float, then: Callable[[], None]) -> None:
@@ -181,14 +153,11 @@
         self.timers[self.labels] = then
         self.actions.append(api.SetTimer(max(delay, 0.0), self.labels))
 
-    def _subscribe(self) -> None:
-        self.ask_pause = max(self.ask_pause, ASK_PAUSE)
-        self.actions.append(api.Subscribe())
-
     def _members(self, event: api.MembershipChanged) -> None:
         if event.kind is api.ListKind.FAILED:
             # Guards against counting as told by default: ask again, ever more slowly, out of step with peers.
-            self._timer(self.ask_pause * self.random.uniform(0.5, 1.5), self._subscribe)
+            again = self.ask_pause * self.random.uniform(0.5, 1.5)
+            self._timer(again, lambda: self.actions.append(api.Subscribe()))
             self.ask_pause = min(2 * self.ask_pause, ASK_PAUSE_MOST)
             return
         self.ask_pause = ASK_PAUSE
@@ -203,39 +172,31 @@
             server.listed, server.ready = replica, replica.state is api.ReplicaState.READY
         # Guards CPU: what the fleet's size decides is worked out once a list, not for each part.
         cells = defaultdict[int, list[_Server]](list)
-        for server in self.servers.values():
+        for _, server in sorted(self.servers.items()):
             if server.listed.state is not api.ReplicaState.GONE:
-                cells[server.listed.cell].append(server)
-        self.ready, n = sum(s.ready for s in self.servers.values()), self.settings.cells
-        for c in range(n):
-            held = [s for j in range(min(self.settings.width, n)) for s in cells[(c + j) % n]]
-            self.held_by[c] = sorted(held, key=lambda s: s.listed.id)
-
-    def _holders(self, part: _Part) -> list[_Server]:
-        return self.held_by.get(part.arrived.shard % self.settings.cells, [])
+                for j in range(min(self.settings.width, self.settings.cells)):
+                    cells[(server.listed.cell - j) % self.settings.cells].append(server)
+        self.ready, self.held_by = sum(s.ready for s in self.servers.values()), cells
 
     def _told(self, event: api.PeerMessage) -> None:
-        """Peers name servers that they found bad: a few such words make up for thin evidence of one's own."""
-        for at in range(0, len(event.payload) - len(event.payload) % ID, ID):
-            server = self.servers.get(int.from_bytes(event.payload[at : at + ID], "big"))
-            if server:
-                self._judge(server, HEARSAY)
+        """A peer names a server that it found bad: some such words make up for thin evidence here."""
+        if server := self.servers.get(int.from_bytes(event.payload, "big")):
+            self._judge(server, HEARSAY)
 
     def _judge(self, server: _Server, bad: float) -> None:
-        """Bad parts, which failed, met silence or were overtaken by their copy, eject a server for a while."""
-        fading = 0.5 ** ((self.now - server.judged_at) / VOUCH)
+        """Bad parts (failed, met by silence, overtaken by their copy) eject a server for a while."""
         if server.ejected_for and not bad:
             # What was silent for long may have restarted before the list says so: it starts slowly.
             server.cold_from = self.now if server.ejected_for > EJECT_FOR else server.cold_from
             server.ejected_for = server.badness = 0.0
             self.actions.append(api.Remark(f"replica {server.listed.id} reinstated"))
-        if server.ejected_for:
-            if self.now < server.ejected_until:
-                return
-            span = 2 * server.ejected_for
-        else:
+        if server.ejected_for and self.now < server.ejected_until:
+            return
+        span = 2 * server.ejected_for
+        if not server.ejected_for:
             # Guards against thin evidence: good parts vouch for a server, but only for a while.
-            server.badness, server.judged_at = max(server.badness * fading + (bad or -1.0), -1.0), self.now
+            server.badness *= 0.5 ** ((self.now - server.judged_at) / VOUCH)
+            server.badness, server.judged_at = max(server.badness + (bad or -1.0), -1.0), self.now
             self.badness += (bad - self.badness) / OUTCOMES if bad != HEARSAY else 0.0
             ejected = sum(s.ready and s.ejected_for > 0 for s in self.servers.values()) if bad else 0
             common = self.badness >= MOST_EJECTED or ejected + 1 > MOST_EJECTED * self.ready
@@ -247,7 +208,7 @@
         server.ejected_for, server.ejected_until = min(span, EJECT_MOST), self.now + min(span, EJECT_MOST)
         self.actions.append(api.Remark(f"replica {server.listed.id} ejected for {server.ejected_for:g} s"))
         if bad != HEARSAY and self.settings.may_message_peers:  # hearsay is not passed on
-            self.tell.append(server.listed.id)
+            self.actions.append(api.TellPeers(server.listed.id.to_bytes(ID, "big")))
 
     def _permitted(self, server: _Server) -> bool:
         """May be sent to at all: neither draining nor gone nor cold beyond its pace."""
@@ -255,9 +216,8 @@
         if not server.ready or age >= self.settings.ramp_time:
             return server.ready
         share = start + (1.0 - start) * age / self.settings.ramp_time  # surely there, by the stated ramp
-        # Credit flows as ready servers answer, not as they are sent to: a retry storm must buy no more of it.
-        # Guards against many co-ordinators each with a whole part to send at once: all together, their floors
-        # allow half a part in the time of a fall, and each starts with a random share of its first part.
+        # Credit flows as ready servers answer: a retry storm buys none. Guards against many co-ordinators:
+        # their floors together allow half a part in the time of a fall, and each starts with a random credit.
         floor = 0.5 / self.settings.fall_time / self.settings.coordinators
         rate = max(self.finished.get(self.now) / RATE_SPAN / self.ready, floor)
         gained = (self.now - server.credit_at) * rate * share
@@ -268,9 +228,8 @@
 
     def _fit(self, server: _Server, query: _Query) -> bool:
         """Permitted, not backed up, and healthy or due for a trial part."""
-        trial = self.now >= server.ejected_until and not server.calls
-        sound = (not server.ejected_for or trial) and not self._backed_up(server, query)
-        return sound and self._permitted(server)
+        sound = not server.ejected_for or (self.now >= server.ejected_until and not server.calls)
+        return sound and not self._backed_up(server, query) and self._permitted(server)
 
     def _backed_up(self, server: _Server, query: _Query) -> bool:
         """Its oldest call is old, but for parts that later ones overtook: those are lost, not queued."""
@@ -279,34 +238,34 @@
 
     def _substitute(self, part: _Part) -> _Server | None:
         """Another holder: fit and untried, else fit, else any that is permitted."""
-        running = [a.server for a in part.out]
-
-        def rank(s: _Server) -> tuple[bool, bool, int, bool]:
-            return (not self._fit(s, part.query), s in part.tried, len(s.calls), s.listed.zone != self.zone)
-
-        others = [s for s in self._holders(part) if self._permitted(s) and s not in running]
-        return min(others, key=rank) if others else None
+        held, out = self.held_by[part.arrived.shard % self.settings.cells], [a.server for a in part.out]
+        others = [s for s in held if self._permitted(s) and s not in out]
+        return min(others, key=lambda s: (
+            not self._fit(s, part.query), s in part.tried, len(s.calls), s.listed.zone != self.zone
+        )) if others else None
 
     def _position(self, parts: list[_Part]) -> list[_Server] | None:
         """The servers of the position with the fewest calls out, as its parts would meet them."""
-        holders, spare = [self._holders(p) for p in parts], dict[int, _Server | None]()
-        rows = list[tuple[float, float, list[_Server]]]()
+        holders = list[list[_Server]]()
+        for part in parts:
+            held = self.held_by[part.arrived.shard % self.settings.cells]
+            fit = [self._fit(s, part.query) for s in held]
+            spare = None if all(fit) else self._substitute(part)
+            if not held or not (spare or all(fit)):
+                return None  # nobody may be sent to
+            holders.append([s if ok or not spare else spare for s, ok in zip(held, fit, strict=True)])
+        rows = [[h[j % len(h)] for h in holders] for j in range(max(map(len, holders)))]
         # Guards against the price of crossing: one row more, of holders in the own zone where there are any.
         near = [[s for s in h if s.listed.zone == self.zone] or h for h in holders]
-        most = max(map(len, holders)) if all(holders) else 0
-        for j, of in [(j, holders) for j in range(most)] + ([(self.batch, near)] if near != holders else []):
-            row = list[_Server]()
-            for i, (part, held) in enumerate(zip(parts, of, strict=True)):
-                server: _Server | None = held[j % len(held)]
-                if not self._fit(held[j % len(held)], part.query):
-                    server = spare[i] if i in spare else spare.setdefault(i, self._substitute(part))
-                if server is None:
-                    return None  # no holder may be sent to
-                row.append(server)
-            calls = sum(len(s.calls) + CROSSING * (s.listed.zone != self.zone) for s in row)
-            # Guards against hot spots: many co-ordinators with nothing out must not all take one position.
-            rows.append((calls, self.random.random(), row))
-        return min(rows, key=lambda r: r[:2])[2] if rows and most else None
+        rows += [[h[self.batch % len(h)] for h in near]] if near != holders else []
+        calls = [sum(len(s.calls) + CROSSING * (s.listed.zone != self.zone) for s in row) for row in rows]
+        # At random among equals: many co-ordinators with nothing out must not all take one position.
+        return rows[min(range(len(rows)), key=lambda i: (calls[i], self.random.random()))]
+
+    def _percentile(self, query: _Query, share: float) -> float:
+        """Of the class's last latencies, of parts, not of attempts: cancelled twins would hide the tail."""
+        ranked = sorted(query.latency)
+        return ranked[int(share * (len(ranked) - 1))] if len(ranked) >= FEW else query.kind.aim * START_DELAY
 
     def _send(self, part: _Part, server: _Server, is_copy: bool = False) -> bool:
         query, kind, rules = part.query, part.query.kind, self.settings
@@ -318,11 +277,10 @@
         window = known.get(kind.semantics, kind.repeat_window or 0.0)
         if part.may_have_run and self.now >= min(part.may_have_run.values()) + window - rules.granularity:
             return False
-        allowed = self.free + (rules.budget_share or 0.0) * self.taken.get(self.now)
-        if part.made and self.extras.get(self.now) + 1 > allowed:
+        left = (rules.budget_share or 0.0) * self.taken.get(self.now) - self.extras.get(self.now)
+        if part.made and rules.budget_free is not None and rules.budget_free + left < 1:
             return False
         (self.extras if part.made else self.sent).add(self.now)
-        part.first_sent = part.first_sent if part.made else self.now
         part.may_have_run[part.made] = self.now
         server.credit = max(server.credit - 1.0, 0.0)
         call = (self.now, self.batch, self.call_now[server] // rules.parts_per_call)
@@ -335,33 +293,33 @@
         part.out.append(attempt)
         part.tried.append(server)
         self.actions.append(api.Send(part.arrived.id, server.listed.id, query.answer_by))
-        self._timer(query.latency.at(PERCENTILE), lambda: self._late(attempt))
+        self._timer(self._percentile(query, PERCENTILE), lambda: self._late(attempt))
         return True
 
     def _late(self, attempt: _Attempt) -> None:
         """The hedge timer: one copy, if the part is still out and a copy can come in before the aim."""
-        part, query, latency = attempt.part, attempt.part.query, attempt.part.query.latency
+        part, query = attempt.part, attempt.part.query
         if not attempt.live:
             return
-        self._timer(latency.at(PERCENTILE), lambda: self._late(attempt))
+        self._timer(self._percentile(query, PERCENTILE), lambda: self._late(attempt))
         attempt.waits += 1
         if attempt.waits % SILENCE == 0 and attempt.server.reached < attempt.call[0]:
             self._judge(attempt.server, 1.0)  # silence: no part sent as late or later has been answered
-        in_time = self.now + latency.at(0.5) <= query.aim_at and query.kind.semantics is api.Semantics.SAFE
+        safe = query.kind.semantics is api.Semantics.SAFE and len(part.out) == 1
+        in_time = self.now + self._percentile(query, 0.5) <= query.aim_at
         parts, copies = self.sent.get(self.now), sum(a.is_copy for a in self.attempts.values())
         shut = self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
         shut |= self._delay() > HEDGE_UNTIL * query.kind.aim
         shut &= not attempt.server.ejected_for  # what an ejected server holds counts as failed, not as late
-        if in_time and not shut and len(part.out) == 1 and copies < COPY_CAP * len(self.attempts):
+        if safe and in_time and not shut and copies < COPY_CAP * len(self.attempts):
             server = self._substitute(part)
             if server and self._fit(server, query) and self._send(part, server, is_copy=True):
                 self.hedges.add(self.now)
 
     def _ended(self, event: api.AttemptEnded) -> None:
-        attempt = self.attempts.pop((event.part, event.attempt), None)
-        if attempt is None:
+        if not (attempt := self.attempts.pop((event.part, event.attempt), None)):
             return
-        part, server, attempt.live = attempt.part, attempt.server, False
+        part, query, server, attempt.live = attempt.part, attempt.part.query, attempt.server, False
         server.calls[attempt.call] -= 1
         if not server.calls[attempt.call]:
             del server.calls[attempt.call]
@@ -380,20 +338,19 @@
         if event.outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.REJECTED):
             server.reached = max(server.reached, attempt.call[0])
             # Guards against a jam that outlives its trigger: full queues answer fast and tell no delay.
-            took = part.query.kind.aim if event.outcome is api.Outcome.REJECTED else event.latency
-            self.mean = self._mean() + (took - self._mean()) / OUTCOMES
-            self.outcome_at, self.met = self.now, self.met + (attempt.met - self.met) / OUTCOMES
-        query = part.query
+            took = query.kind.aim if event.outcome is api.Outcome.REJECTED else event.latency
+            self.mean, self.outcome_at = self.mean + (took - self.mean) / OUTCOMES, self.now
+            self.met += (attempt.met - self.met) / OUTCOMES
         if not part.done and event.outcome is api.Outcome.OK:
-            query.latency.add(self.now - part.first_sent)
+            query.latency.append(self.now - part.first_sent)
             self._drop([part])
             query.weight_in += part.arrived.weight
-            enough = query.step == 1 and query.kind.whole_share < 1.0 and query.weight_in >= query.kind.whole_share
+            enough = query.step == 1 and query.weight_in >= query.kind.whole_share < 1.0
             if enough or all(p.done for p in query.parts):
                 self._answer(query, True)
         elif event.outcome is api.Outcome.REJECTED and part.made < self.settings.most_attempts:
             # Guards against storms on full queues: the next try waits for room.
-            self._timer(part.made * part.query.latency.at(0.5), lambda: self._retry(part))
+            self._timer(part.made * self._percentile(query, 0.5), lambda: self._retry(part))
         else:
             self._retry(part)
 
@@ -408,8 +365,8 @@
         kind = self.settings.classes[event.query_class]
         answer_by = event.expires_at - 2 * self.settings.granularity
         aim = min(kind.deadline, kind.aim + (kind.aim_stretch or 0.0) * event.predicted_cost)
-        aim_at = min(self.now + aim, answer_by)
-        query = _Query(event, kind, self.latency[event.query_class], aim_at, answer_by)
+        latency, aim_at = self.latency[event.query_class], min(self.now + aim, answer_by)
+        query = _Query(event, kind, latency, aim_at, answer_by)
         self.queries[event.id] = self.by_number[event.number] = self.fresh[event.id] = query
         self.taken.add(self.now)
         self.tenants[event.tenant].add(self.now)
@@ -417,9 +374,8 @@
 
     def _take_part(self, event: api.PartArrived) -> None:
         self.taken.add(self.now)
-        query = self.by_number.get(event.query_number)
-        if query:
-            query.parts.append(_Part(event, query))
+        if query := self.by_number.get(event.query_number):
+            query.parts.append(_Part(event, query, self.now))
             self.fresh[query.arrived.id] = query
 
     def _start(self, query: _Query) -> None:
@@ -432,22 +388,20 @@
         if not admitted:
             self._give_up(query)
 
-    def _mean(self) -> float:
-        """Guards against refusing for ever on old news: the mean time fades while no outcomes come."""
-        return self.mean * float(0.5 ** (max(self.now - self.outcome_at - self.mean, 0.0) / RATE_SPAN))
-
     def _delay(self, row: list[_Server] | None = None) -> float:
-        """Mean time of a part in these servers or all: of the last outcomes, by the calls out now over those met."""
+        """Mean time of a part in these servers or all: the last one, scaled by the calls out now and then."""
         out = sum(len(s.calls) for s in row) / len(row) if row else len(self.attempts) / max(self.ready, 1)
-        return self._mean() * (1 + out) / (1 + self.met)
+        # Guards against refusing for ever on old news: it fades while no outcomes come.
+        unheard = max(self.now - self.outcome_at - self.mean, 0.0)
+        return self.mean * (1 + out) / (1 + self.met) * float(0.5 ** (unheard / RATE_SPAN))
 
     def _crowded(self, query: _Query, row: list[_Server]) -> bool:
         """Refuse what would miss its aim at the present delay; sooner, what is over its tenant's share."""
         quota = dict(enumerate(self.settings.tenant_quotas)).get(query.arrived.tenant)
         # Guards against thin evidence: a few queries by chance, times many co-ordinators, are no excess.
         came = self.tenants[query.arrived.tenant].get(self.now)
-        asked = (came - 1.5 * sqrt(came)) * self.settings.coordinators
-        limit = ADMIT_OVER_SHARE if quota and asked > WINDOW * quota else ADMIT
+        over = quota and (came - CHANCE * sqrt(came)) * self.settings.coordinators > WINDOW * quota
+        limit = ADMIT_OVER_SHARE if over else ADMIT
         left = (query.aim_at - self.now) / (2 if query.kind.second_step_parts else 1)
         # A wide query waits for the slowest of many: for exponential times, the harmonic number of means.
         slowest = self._delay(row) * (0.58 + log(len(row) + 0.5))
