--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -179,7 +179,7 @@
         self.ready, self.held_by = sum(s.ready for s in self.servers.values()), cells
 
     def _told(self, event: api.PeerMessage) -> None:
-        """A peer names a server that it found bad: some such words make up for thin evidence here."""
+        """A peer names a server that it found bad: two words make up for thin evidence of one's own."""
         if server := self.servers.get(int.from_bytes(event.payload, "big")):
             self._judge(server, HEARSAY)
 
@@ -278,7 +278,8 @@
         if part.may_have_run and self.now >= min(part.may_have_run.values()) + window - rules.granularity:
             return False
         left = (rules.budget_share or 0.0) * self.taken.get(self.now) - self.extras.get(self.now)
-        if part.made and rules.budget_free is not None and rules.budget_free + left < 1:
+        spare = (rules.budget_free or 0.0) * is_copy / 2  # of the stated few, half is for retries
+        if part.made and rules.budget_free is not None and rules.budget_free + left < 1 + spare:
             return False
         (self.extras if part.made else self.sent).add(self.now)
         part.may_have_run[part.made] = self.now
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -167,3 +167,7 @@
     )
     full = benchlink.parse_settings(more)
     assert full.tenant_quotas == (4.5,) and full.budget_span == 5.0 and full.classes[0].aim_stretch == 1.5
+
+
+def test_a_word_to_all_peers() -> None:
+    assert benchlink.encode(api.TellPeers(b"hi")) == struct.pack("<BIH", 71, 2**32 - 1, 2) + b"hi"
