--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -310,7 +310,8 @@
         in_time = self.now + self._percentile(query, 0.5) <= query.aim_at
         parts, copies = self.sent.get(self.now), sum(a.is_copy for a in self.attempts.values())
         shut = self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
-        shut |= self._delay() > HEDGE_UNTIL * query.kind.aim
+        # Guards stragglers: with all but a breaker's share of its query in, a part is late by itself.
+        shut |= self._delay() > HEDGE_UNTIL * query.kind.aim and query.weight_in < 1 - BREAKER_OPENS
         shut &= not attempt.server.ejected_for  # what an ejected server holds counts as failed, not as late
         if safe and in_time and not shut and copies < COPY_CAP * len(self.attempts):
             server = self._substitute(part)
