--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -313,7 +313,7 @@
         # Guards stragglers: with all but a breaker's share of its query in, a part is late by itself.
         shut |= self._delay() > HEDGE_UNTIL * query.kind.aim and query.weight_in < 1 - BREAKER_OPENS
         shut &= not attempt.server.ejected_for  # what an ejected server holds counts as failed, not as late
-        if safe and in_time and not shut and copies < COPY_CAP * len(self.attempts):
+        if safe and in_time and not shut and copies < COPY_CAP * max(len(self.attempts), len(query.parts)):
             server = self._substitute(part)
             if server and self._fit(server, query) and self._send(part, server, is_copy=True):
                 self.hedges.add(self.now)
