--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -112,7 +112,7 @@
         self.now, self.batch, self.actions = 0.0, 0, list[api.Action]()
         self.servers, self.ready = dict[int, _Server](), 0
         self.held_by = defaultdict[int, list[_Server]](list)  # by cell: holders of its shards in order of id
-        self.badness = self.mean = self.outcome_at = self.met = 0.0  # moving means over the last OUTCOMES
+        self.mean = self.outcome_at = self.met = 0.0  # moving means over the last OUTCOMES
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts, self.fresh = dict[tuple[int, int], _Attempt](), dict[int, _Query]()
         self.timers, self.labels = dict[int, Callable[[], None]](), 0
@@ -195,10 +195,8 @@
             # Guards against thin evidence: good parts vouch for a server, but only for a while.
             server.badness *= 0.5 ** ((self.now - server.judged_at) / VOUCH)
             server.badness, server.judged_at = max(server.badness + (bad or -1.0), -1.0), self.now
-            self.badness += (bad - self.badness) / OUTCOMES if bad != HEARSAY else 0.0
             ejected = sum(s.ready and s.ejected_for > 0 for s in self.servers.values()) if bad else 0
-            common = self.badness >= MOST_EJECTED or ejected + 1 > MOST_EJECTED * self.ready
-            if not bad or common or server.badness <= EJECT_AT:
+            if not bad or ejected + 1 > MOST_EJECTED * self.ready or server.badness <= EJECT_AT:
                 return
             # Out for at least as long as the next part for it would take to come, to those who would tell.
             seers = self.settings.coordinators if self.settings.may_message_peers else 1
