--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -402,11 +402,8 @@
         over = quota and (came - CHANCE * sqrt(came)) * self.settings.coordinators > WINDOW * quota
         limit = ADMIT_OVER_SHARE if over else ADMIT
         left = (query.aim_at - self.now) / (2 if query.kind.second_step_parts else 1)
-        # A wide query waits for the slowest of many: as the last latencies were spread; the harmonic number of means
-        # for exponential times, until there are enough.
-        known, n = query.latency, len(row)
-        spread = self._percentile(query, n / (n + 1)) * len(known) / max(sum(known), 1e-9)
-        slowest = self._delay(row) * (spread if len(known) >= FEW else 0.58 + log(n + 0.5))
+        # A wide query waits for the slowest of many: for exponential times, the harmonic number of means.
+        slowest = self._delay(row) * (0.58 + log(len(row) + 0.5))
         return slowest > limit * left or any(self._backed_up(s, query) for s in row)
 
     def _answer(self, query: _Query, whole: bool) -> None:
