--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -27,6 +27,7 @@
 OUTCOMES, RATE_SPAN = 40, 2.0  # for moving means; half-life, and span of the count for slow start, s
 ADMIT, ADMIT_OVER_SHARE = 0.9, 0.65  # of the time to the aim: expected time of the slowest part
 BACKLOG, CROSSING = 0.35, 0.5  # of the time to the aim: age of the oldest call; calls that a crossing weighs
+EPSILON = 1e-6  # of weights that the wire rounds
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
 
 
@@ -402,8 +403,12 @@
         over = quota and (came - CHANCE * sqrt(came)) * self.settings.coordinators > WINDOW * quota
         limit = ADMIT_OVER_SHARE if over else ADMIT
         left = (query.aim_at - self.now) / (2 if query.kind.second_step_parts else 1)
-        # A wide query waits for the slowest of many: for exponential times, the harmonic number of means.
-        slowest = self._delay(row) * (0.58 + log(len(row) + 0.5))
+        # A wide query waits for the slowest of the servers that it needs (parts in one call end together): for
+        # exponential times, a difference of harmonic numbers of means.
+        servers, need = len(set(row)), min(query.kind.whole_share, query.kind.least_share)
+        unneeded = int(servers * (1.0 - need) + EPSILON)
+        means = log(servers + 0.5) - (log(unneeded + 0.5) if unneeded else -0.58)
+        slowest = self._delay(row) * max(means, 1.0)
         return slowest > limit * left or any(self._backed_up(s, query) for s in row)
 
     def _answer(self, query: _Query, whole: bool) -> None:
