--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -403,8 +403,8 @@
         over = quota and (came - CHANCE * sqrt(came)) * self.settings.coordinators > WINDOW * quota
         limit = ADMIT_OVER_SHARE if over else ADMIT
         left = (query.aim_at - self.now) / (2 if query.kind.second_step_parts else 1)
-        # A wide query waits for the slowest of the servers that it needs (parts in one call end together): for
-        # exponential times, a difference of harmonic numbers of means.
+        # A wide query waits for the slowest of the servers that it needs, as parts in one call end together:
+        # for exponential times, a difference of harmonic numbers of means.
         servers, need = len(set(row)), min(query.kind.whole_share, query.kind.least_share)
         unneeded = int(servers * (1.0 - need) + EPSILON)
         means = log(servers + 0.5) - (log(unneeded + 0.5) if unneeded else -0.58)
