--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -19,7 +19,7 @@
 PERCENTILE, SAMPLES = 0.95, 200  # hedge delay, of the class's last latencies; and of the aim until there are
 START_DELAY, FEW = 0.5, 20  # FEW of them (design page)
 BREAKER_OPENS, BREAKER_CLOSES = 0.15, 0.10  # copies over parts (design page); failures over parts too
-HEDGE_UNTIL, COPY_CAP = 0.2, 0.25  # mean time, of the aim, up to which to copy; copies, of the attempts out
+COPY_CAP = 0.25  # copies, of the attempts out
 VOUCH, EJECT_AT, MOST_EJECTED = 2.0, 0.6, 0.5  # half-life, s; a bad part ejects unless good ones vouch
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
 HEARSAY, ID = 0.34, 8  # a peer's word, as a share of a bad part; bytes of an id in it
@@ -84,6 +84,7 @@
     arrived: api.PartArrived
     query: _Query
     first_sent: float
+    next_sent: float = 0.0  # when its second attempt was sent
     made: int = 0
     out: list[_Attempt] = field(default_factory=list)
     tried: list[_Server] = field(default_factory=list)
@@ -279,6 +280,7 @@
         if part.made and rules.budget_free is not None and rules.budget_free + left < 1 + spare:
             return False
         (self.extras if part.made else self.sent).add(self.now)
+        part.next_sent = self.now if part.made == 1 else part.next_sent
         part.may_have_run[part.made] = self.now
         server.credit = max(server.credit - 1.0, 0.0)
         call = (self.now, self.batch, self.call_now[server] // rules.parts_per_call)
@@ -308,7 +310,7 @@
         parts, copies = self.sent.get(self.now), sum(a.is_copy for a in self.attempts.values())
         shut = self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
         # Guards stragglers: with nine tenths of its query in, a part is late by itself.
-        shut |= self._delay() > HEDGE_UNTIL * query.kind.aim and query.weight_in < 1 - BREAKER_CLOSES
+        shut |= self._delay() > self._percentile(query, PERCENTILE) and query.weight_in < 1 - BREAKER_CLOSES
         shut &= not attempt.server.ejected_for  # what an ejected server holds counts as failed, not as late
         cap = max(COPY_CAP * len(self.attempts), BREAKER_CLOSES * len(query.parts))
         if safe and in_time and not shut and copies < cap:
@@ -342,7 +344,9 @@
             self.mean, self.outcome_at = self.mean + (took - self.mean) / OUTCOMES, self.now
             self.met += (attempt.met - self.met) / OUTCOMES
         if not part.done and event.outcome is api.Outcome.OK:
-            query.latency.append(self.now - part.first_sent)
+            # Guards the delay against its own rescues: with over 5% of the parts copied away from silence, each
+            # at the delay plus the copy's time, the percentile would climb to the aim. They count as the delay.
+            query.latency.append(max(event.latency, part.next_sent - part.first_sent))
             self._drop([part])
             query.weight_in += part.arrived.weight
             enough = query.step == 1 and query.weight_in >= query.kind.whole_share < 1.0
