--- a/gingervane/benchlink.py
+++ b/gingervane/benchlink.py
@@ -89,6 +89,8 @@
             least_share=per_class("Extra.MinShare", float, i),
             whole_share=per_class("Extra.WholeAt", float, i),
             aim_stretch=maybe(f"Classes.{i}.AimStretch", float),
+            late_worth=need(f"Classes.{i}.LateWorth", float),
+            short_worth=per_class("Extra.ShortWorth", float, i),
         )
 
     tenants = range(need("Tenants.count", int) if "Tenants.count" in pairs else 0)
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -60,6 +60,8 @@
     least_share: float
     whole_share: float
     aim_stretch: float | None
+    late_worth: float  # share of the worth after the aim
+    short_worth: float  # of an answer not marked whole: this times its share of what a whole one needs
 
 
 class Settings(NamedTuple):
--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -90,6 +90,7 @@
     tried: list[_Server] = field(default_factory=list)
     may_have_run: dict[int, float] = field(default_factory=dict)  # attempt -> sent; unless proved not to
     done: bool = False
+    lost: bool = False  # no way left to have it
 
 
 @dataclass(eq=False)
@@ -105,6 +106,17 @@
     first_whole: bool = True
     over: bool = False
 
+    @property
+    def need(self) -> float:
+        """The least weight of an answer; a second step needs all unless the class allows short answers."""
+        least, whole = self.kind.least_share, self.kind.whole_share
+        return 1.0 if self.step == 2 and least >= whole else min(least, whole)
+
+    def lacks(self, lost: Callable[[_Part], bool] = lambda p: p.lost) -> bool:
+        """Whether an answer is out of reach without the parts that are lost."""
+        gone = sum(p.arrived.weight for p in self.parts if lost(p) and not p.done)
+        return gone > 1.0 - self.need + EPSILON
+
 
 class Coordinator:
     """One co-ordinator's decisions, from its own settings and its own events alone."""
@@ -242,17 +254,15 @@
             not self._fit(s, part.query), s in part.tried, len(s.calls), s.listed.zone != self.zone
         )) if others else None
 
-    def _position(self, parts: list[_Part]) -> list[_Server] | None:
+    def _position(self, parts: list[_Part]) -> list[_Server]:
         """The servers of the position with the fewest calls out, as its parts would meet them."""
         holders = list[list[_Server]]()
         for part in parts:
             held = self.held_by[part.arrived.shard % self.settings.cells]
             fit = [self._fit(s, part.query) for s in held]
             spare = None if all(fit) else self._substitute(part)
-            if not held or not (spare or all(fit)):
-                return None  # nobody may be sent to
             holders.append([s if ok or not spare else spare for s, ok in zip(held, fit, strict=True)])
-        rows = [[h[j % len(h)] for h in holders] for j in range(max(map(len, holders)))]
+        rows = [[h[j % len(h)] for h in holders] for j in range(max(map(len, holders), default=1))]
         # Guards against the price of crossing: one row more, of holders in the own zone where there are any.
         near = [[s for s in h if s.listed.zone == self.zone] or h for h in holders]
         rows += [[h[self.batch % len(h)] for h in near]] if near != holders else []
@@ -344,14 +354,12 @@
             self.mean, self.outcome_at = self.mean + (took - self.mean) / OUTCOMES, self.now
             self.met += (attempt.met - self.met) / OUTCOMES
         if not part.done and event.outcome is api.Outcome.OK:
-            # Guards the delay against its own rescues: with over 5% of the parts copied away from silence, each
-            # at the delay plus the copy's time, the percentile would climb to the aim. They count as the delay.
+            # Guards the delay against its own rescues: counted as the delay plus the copy's time, they would
+            # raise the percentile to the aim where over 5% of parts meet silence. They count as the delay.
             query.latency.append(max(event.latency, part.next_sent - part.first_sent))
             self._drop([part])
             query.weight_in += part.arrived.weight
-            enough = query.step == 1 and query.weight_in >= query.kind.whole_share < 1.0
-            if enough or all(p.done for p in query.parts):
-                self._answer(query, True)
+            self._settle(query)
         elif event.outcome is api.Outcome.REJECTED and part.made < self.settings.most_attempts:
             # Guards against storms on full queues: the next try waits for room.
             self._timer(part.made * self._percentile(query, 0.5), lambda: self._retry(part))
@@ -359,11 +367,11 @@
             self._retry(part)
 
     def _retry(self, part: _Part) -> None:
-        """A failed part is tried again elsewhere, which is no copy; with no way left, all is given up."""
+        """A failed part is tried again elsewhere, which is no copy; with no way left it is lost."""
         if not part.done and not part.out:
             other = self._substitute(part)
-            if other is None or not self._send(part, other):
-                self._give_up(part.query)
+            part.lost = other is None or not self._send(part, other)
+            self._settle(part.query)
 
     def _take_query(self, event: api.QueryArrived) -> None:
         kind = self.settings.classes[event.query_class]
@@ -375,6 +383,8 @@
         self.taken.add(self.now)
         self.tenants[event.tenant].add(self.now)
         self._timer(answer_by - self.now, lambda: self._overdue(query))
+        if kind.least_share < kind.whole_share:
+            self._timer(aim_at - 2 * self.settings.granularity - self.now, lambda: self._settle(query))
 
     def _take_part(self, event: api.PartArrived) -> None:
         self.taken.add(self.now)
@@ -383,14 +393,19 @@
             self.fresh[query.arrived.id] = query
 
     def _start(self, query: _Query) -> None:
-        row = self._position(query.parts) if query.parts else None
-        admitted = row is not None and (query.step == 2 or not self._crowded(query, row))
-        for part, server in zip(query.parts, row or (), strict=row is not None):
+        for part in query.parts:
+            part.lost = self._substitute(part) is None
+        parts = [p for p in query.parts if not p.lost]
+        row = self._position(parts)
+        admitted = parts and not query.lacks() and (query.step == 2 or not self._crowded(query, parts, row))
+        for part, server in zip(parts, row, strict=True) if admitted else ():
             # Two parts of one query can spend a cold server's credit: the second goes elsewhere.
             other = server if self._fit(server, query) else self._substitute(part)
-            admitted = admitted and other is not None and self._send(part, other)
+            part.lost = other is None or not self._send(part, other)
         if not admitted:
             self._give_up(query)
+        else:
+            self._settle(query)
 
     def _delay(self, row: list[_Server] | None = None) -> float:
         """Mean time of a part in these servers or all: the last one, scaled by the calls out now and then."""
@@ -399,7 +414,7 @@
         unheard = max(self.now - self.outcome_at - self.mean, 0.0)
         return self.mean * (1 + out) / (1 + self.met) * float(0.5 ** (unheard / RATE_SPAN))
 
-    def _crowded(self, query: _Query, row: list[_Server]) -> bool:
+    def _crowded(self, query: _Query, parts: list[_Part], row: list[_Server]) -> bool:
         """Refuse what would miss its aim at the present delay; sooner, what is over its tenant's share."""
         quota = dict(enumerate(self.settings.tenant_quotas)).get(query.arrived.tenant)
         # Guards against thin evidence: a few queries by chance, times many co-ordinators, are no excess.
@@ -413,7 +428,24 @@
         unneeded = int(servers * (1.0 - need) + EPSILON)
         means = log(servers + 0.5) - (log(unneeded + 0.5) if unneeded else -0.58)
         slowest = self._delay(row) * max(means, 1.0)
-        return slowest > limit * left or any(self._backed_up(s, query) for s in row)
+        met = dict(zip(map(id, parts), row, strict=True))
+        return slowest > limit * left or query.lacks(
+            lambda p: p.lost or self._backed_up(met[id(p)], query))
+
+    def _settle(self, query: _Query) -> None:
+        """End what can be: with enough for a whole answer, with all there is to come, or for want of it."""
+        if query.over:
+            return
+        kind, whole = query.kind, query.step == 1 and query.weight_in >= query.kind.whole_share < 1.0
+        # Past the aim a whole answer earns its late worth: what is in may earn more, if it goes in time.
+        worth = kind.short_worth * query.weight_in / kind.whole_share
+        over = self.now >= query.aim_at - 2 * self.settings.granularity and worth > kind.late_worth
+        if whole or all(p.done for p in query.parts):
+            self._answer(query, True)
+        elif query.lacks():
+            self._give_up(query)
+        elif query.weight_in >= query.need and (over or all(p.done or p.lost for p in query.parts)):
+            self._answer(query, False)
 
     def _answer(self, query: _Query, whole: bool) -> None:
         self.actions.append(api.Answer(query.arrived.id, whole and query.first_whole))
@@ -425,7 +457,7 @@
 
     def _overdue(self, query: _Query) -> None:
         """Time is nearly up: a short answer where the class allows one, else none."""
-        if not query.over and query.parts and query.weight_in >= query.kind.least_share:
+        if not query.over and query.parts and query.weight_in >= query.need:
             self._answer(query, False)
         if not query.over:
             self._give_up(query)
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -19,8 +19,10 @@
     second: int = 0,
     least: float = 1.0,
     whole: float = 1.0,
+    late: float = 0.0,
+    short: float = 1.0,
 ) -> api.QueryClass:
-    return api.QueryClass(aim, deadline, semantics, window, second, least, whole, None)
+    return api.QueryClass(aim, deadline, semantics, window, second, least, whole, None, late, short)
 
 
 BASE = api.Settings(
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -25,6 +25,7 @@
 Extra.MinShare=1.0
 Extra.PerCall=1
 Extra.Sets=1
+Extra.ShortWorth=0.9
 Extra.WholeAt=1.0
 Extra.Width=1
 GranularityS=0.005
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -108,8 +108,10 @@
 
 def test_work_that_takes_long_for_its_aim_is_no_queueing() -> None:
     """Found at a site whose parts take a quarter of the aim when all is well: nothing was ever copied."""
-    host = Host(BASE._replace(classes=(query_class(aim=1.0),)))
+    host = Host(BASE._replace(classes=(query_class(aim=1.0),)), replicas=6)
     host.warm_up(60, latency=0.3)
+    host.wait(15.0)
+    host.module.mean, host.module.outcome_at = 0.25, host.now
     part = part_of(host, host.query(0))
     host.wait(0.32)
     assert len(host.sends[part]) == 2
@@ -743,6 +745,50 @@
     assert host.ended[query] == api.Answer(query, False)
 
 
+def ring(least: float, whole: float, late: float = 0.0, short: float = 1.0) -> Host:
+    """Four shards, each held by one server only."""
+    kind = query_class(least=least, whole=whole, late=late, short=short)
+    return Host(BASE._replace(classes=(kind,), cells=4, width=1), replicas=4)
+
+
+@pytest.mark.parametrize(("least", "whole", "answered"), [(0.75, 0.75, 1), (0.75, 1.0, 1), (1.0, 1.0, 0)])
+def test_a_part_without_a_holder_ends_only_what_needs_it(least: float, whole: float, answered: int) -> None:
+    """Found on busy days: one part without a way ended its query, though the others were enough."""
+    host = ring(least, whole)
+    host.members(ListKind.DELTA, replica(13, cell=3, state=ReplicaState.GONE))
+    query = host.query(0, 1, 2, 3)
+    for part in host.step_parts[query]:
+        if host.sends[part]:
+            host.finish(part)
+    assert host.ended[query] == (api.Answer(query, whole < 1.0) if answered else api.Refuse(query, 0.005))
+
+
+def test_a_failed_part_without_a_way_left_is_done_without() -> None:
+    host = ring(0.75, 1.0)
+    query = host.query(0, 1, 2, 3)
+    host.finish(part_of(host, query, 3), Outcome.ERROR)
+    host.members(ListKind.DELTA, replica(13, cell=3, state=ReplicaState.GONE))
+    part = part_of(host, query, 3)
+    if (part, 1) in host.out:
+        host.finish(part, Outcome.ERROR, 1)
+    for index in range(3):
+        host.finish(part_of(host, query, index))
+    assert host.ended[query] == api.Answer(query, False)
+
+
+@pytest.mark.parametrize(("late", "at_aim"), [(0.1, True), (0.9, False)])
+def test_a_short_answer_goes_at_the_aim_unless_a_late_whole_one_earns_more(late: float, at_aim: bool) -> None:
+    """Found on the first days: short answers came at the client's deadline, worth a tenth of it."""
+    host = ring(0.75, 1.0, late=late, short=0.8)
+    query = host.query(0, 1, 2, 3)
+    for index in range(3):
+        host.finish(part_of(host, query, index))
+    host.wait(1.98)
+    assert query not in host.ended
+    host.wait(0.015)
+    assert (host.ended.get(query) == api.Answer(query, False)) is at_aim
+
+
 def test_enough_parts_make_a_whole_answer() -> None:
     host = Host(BASE._replace(classes=(query_class(least=0.5, whole=0.5),)))
     query = host.query(0, 0)
