--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -58,7 +58,6 @@
     calls: dict[tuple[float, int, int], int] = field(default_factory=dict)  # parts out by call, oldest first
     badness: float = 0.0  # parts that failed, met silence or were overtaken by a copy, less good ones
     judged_at: float = 0.0
-    ejected_at: float = 0.0
     ejected_until: float = 0.0
     ejected_for: float = 0.0  # 0: in good standing
     reached: float = 0.0  # send time of the latest part that it has answered
@@ -196,13 +195,11 @@
         if server := self.servers.get(int.from_bytes(event.payload, "big")):
             self._judge(server, HEARSAY)
 
-    def _judge(self, server: _Server, bad: float, sent_at: float = 0.0) -> None:
+    def _judge(self, server: _Server, bad: float) -> None:
         """Bad parts (failed, met by silence, overtaken by their copy) eject a server for a while."""
         if server.ejected_for and not bad:
-            # What was silent for long may have restarted before the list says so: it starts slowly. Guards
-            # against taking lateness for that: an answer to what was sent before shows that it ran all along.
-            restarted = sent_at > server.ejected_at and self.now - server.ejected_at > EJECT_FOR
-            server.cold_from = self.now if restarted else server.cold_from
+            # What was silent for long may have restarted before the list says so: it starts slowly.
+            server.cold_from = self.now if server.ejected_for > EJECT_FOR else server.cold_from
             server.ejected_for = server.badness = 0.0
             self.actions.append(api.Remark(f"replica {server.listed.id} reinstated"))
         if server.ejected_for and self.now < server.ejected_until:
@@ -218,7 +215,6 @@
             # Out for at least as long as the next part for it would take to come, to those who would tell.
             seers = self.settings.coordinators if self.settings.may_message_peers else 1
             span = max(EJECT_FOR, self.ready * WINDOW / max(self.sent.get(self.now), 1) / seers)
-            server.ejected_at = self.now
         server.ejected_for, server.ejected_until = min(span, EJECT_MOST), self.now + min(span, EJECT_MOST)
         self.actions.append(api.Remark(f"replica {server.listed.id} ejected for {server.ejected_for:g} s"))
         if bad != HEARSAY and self.settings.may_message_peers:  # hearsay is not passed on
@@ -344,7 +340,7 @@
             del part.may_have_run[event.attempt]
         if event.outcome is api.Outcome.OK:
             self.finished.add(self.now)
-            self._judge(server, 0.0, attempt.call[0])
+            self._judge(server, 0.0)
             # Guards against slow servers, whatever all do: one that a copy overtook in spite of its start.
             for loser in part.out if attempt.is_copy and not part.done else ():
                 self._judge(loser.server, 1.0)
