--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -19,7 +19,8 @@
 PERCENTILE, SAMPLES = 0.95, 200  # hedge delay, of the class's last latencies; and of the aim until there are
 START_DELAY, FEW = 0.5, 20  # FEW of them (design page)
 BREAKER_OPENS, BREAKER_CLOSES = 0.15, 0.10  # copies over parts (design page); failures over parts too
-COPY_CAP = 0.25  # copies, of the attempts out
+COPY_CAP, QUEUEING = 0.25, 2.0  # copies, of the attempts out; mean time, of the usual, up to which to copy
+CREEP = 1.02  # growth of the usual time with each query, where all stays slower
 VOUCH, EJECT_AT, MOST_EJECTED = 2.0, 0.6, 0.5  # half-life, s; a bad part ejects unless good ones vouch
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
 HEARSAY, ID = 0.34, 8  # a peer's word, as a share of a bad part; bytes of an id in it
@@ -132,6 +133,7 @@
         self.timers, self.labels = dict[int, Callable[[], None]](), 0
         self.call_now = Counter[_Server]()  # parts sent in this batch
         self.latency = [deque[float](maxlen=SAMPLES) for c in settings.classes]
+        self.usual = [c.aim * START_DELAY for c in settings.classes]  # median time of a part on good days
         self.hedges, self.failures, self.sent = _Count(WINDOW), _Count(WINDOW), _Count(WINDOW)
         self.finished = _Count(RATE_SPAN)
         # The budget's own counts lean a tick to the safe side at both ends.
@@ -320,7 +322,8 @@
         parts, copies = self.sent.get(self.now), sum(a.is_copy for a in self.attempts.values())
         shut = self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
         # Guards stragglers: with nine tenths of its query in, a part is late by itself.
-        shut |= self._delay() > self._percentile(query, PERCENTILE) and query.weight_in < 1 - BREAKER_CLOSES
+        usual = self.usual[query.arrived.query_class]
+        shut |= self._delay() > QUEUEING * usual and query.weight_in < 1 - BREAKER_CLOSES
         shut &= not attempt.server.ejected_for  # what an ejected server holds counts as failed, not as late
         cap = max(COPY_CAP * len(self.attempts), BREAKER_CLOSES * len(query.parts))
         if safe and in_time and not shut and copies < cap:
@@ -382,6 +385,8 @@
         self.queries[event.id] = self.by_number[event.number] = self.fresh[event.id] = query
         self.taken.add(self.now)
         self.tenants[event.tenant].add(self.now)
+        usual = self.usual[event.query_class]
+        self.usual[event.query_class] = min(usual * CREEP, self._percentile(query, 0.5))
         self._timer(answer_by - self.now, lambda: self._overdue(query))
         if kind.least_share < kind.whole_share:
             self._timer(aim_at - 2 * self.settings.granularity - self.now, lambda: self._settle(query))
