--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -381,8 +381,6 @@
         answer_by = event.expires_at - 2 * self.settings.granularity
         aim = min(kind.deadline, kind.aim + (kind.aim_stretch or 0.0) * event.predicted_cost)
         latency, aim_at = self.latency[event.query_class], min(self.now + aim, answer_by)
-        if not kind.late_worth:  # nobody gains by an answer after the aim: its servers are free from then on
-            answer_by = min(answer_by, aim_at - 2 * self.settings.granularity)
         query = _Query(event, kind, latency, aim_at, answer_by)
         self.queries[event.id] = self.by_number[event.number] = self.fresh[event.id] = query
         self.taken.add(self.now)
@@ -473,9 +471,7 @@
         """The final answer at once: refused with a time to come again where that is harmless, else failed."""
         harmless = query.kind.semantics is api.Semantics.SAFE or not any(p.may_have_run for p in query.parts)
         if harmless and query.step == 1:
-            # Sent and come to nothing in all its time: the longest wait, as it was not for a moment's want of room.
-            wait = max(self._delay(), self.settings.granularity) if self.now < query.answer_by else inf
-            wait = min(self.settings.longest_wait_advice, wait)
+            wait = min(self.settings.longest_wait_advice, max(self._delay(), self.settings.granularity))
             self.actions.append(api.Refuse(query.arrived.id, wait if self.settings.may_advise_wait else 0.0))
         else:
             self.actions.append(api.Fail(query.arrived.id))
