--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -28,6 +28,7 @@
 OUTCOMES, RATE_SPAN = 40, 2.0  # for moving means; half-life, and span of the count for slow start, s
 ADMIT, ADMIT_OVER_SHARE = 0.9, 0.65  # of the time to the aim: expected time of the slowest part
 BACKLOG, CROSSING = 0.35, 0.5  # of the time to the aim: age of the oldest call; calls that a crossing weighs
+PACED, PACE_FADES, SLOW = 3, 8.0, 2.5  # parts in a pace; its half-life, s; of peers' pace: left for them
 EPSILON = 1e-6  # of weights that the wire rounds
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
 
@@ -62,6 +63,8 @@
     ejected_until: float = 0.0
     ejected_for: float = 0.0  # 0: in good standing
     reached: float = 0.0  # send time of the latest part that it has answered
+    pace: float = 1.0  # times of its last parts over the median of their classes
+    paced_at: float = 0.0
     cold_from: float = 0.0  # start of the slow-start ramp
     credit: float = 0.0  # parts that slow start allows now
     credit_at: float = 0.0
@@ -243,6 +246,11 @@
         sound = not server.ejected_for or (self.now >= server.ejected_until and not server.calls)
         return sound and not self._backed_up(server, query) and self._permitted(server)
 
+    def _pace(self, server: _Server) -> float:
+        """How slow its last parts were against the median, fading. Guards against those that are or grow slow
+        and still answer: a lost race comes too seldom where a co-ordinator meets each in seconds."""
+        return 1.0 + (server.pace - 1.0) * float(0.5 ** ((self.now - server.paced_at) / PACE_FADES))
+
     def _backed_up(self, server: _Server, query: _Query) -> bool:
         """Its oldest call is old, but for parts that later ones overtook: those are lost, not queued."""
         oldest = next((c[0] for c in server.calls if c[0] > server.reached), self.now)
@@ -253,7 +261,8 @@
         held, out = self.held_by[part.arrived.shard % self.settings.cells], [a.server for a in part.out]
         others = [s for s in held if self._permitted(s) and s not in out]
         return min(others, key=lambda s: (
-            not self._fit(s, part.query), s in part.tried, len(s.calls), s.listed.zone != self.zone
+            not self._fit(s, part.query), s in part.tried, len(s.calls) + self._pace(s),
+            s.listed.zone != self.zone,
         )) if others else None
 
     def _position(self, parts: list[_Part]) -> list[_Server]:
@@ -261,7 +270,8 @@
         holders = list[list[_Server]]()
         for part in parts:
             held = self.held_by[part.arrived.shard % self.settings.cells]
-            fit = [self._fit(s, part.query) for s in held]
+            least = min((self._pace(s) for s in held if self._fit(s, part.query)), default=0.0)
+            fit = [self._fit(s, part.query) and self._pace(s) <= SLOW * least for s in held]
             spare = None if all(fit) else self._substitute(part)
             holders.append([s if ok or not spare else spare for s, ok in zip(held, fit, strict=True)])
         rows = [[h[j % len(h)] for h in holders] for j in range(max(map(len, holders), default=1))]
@@ -317,7 +327,9 @@
         attempt.waits += 1
         if attempt.waits % SILENCE == 0 and attempt.server.reached < attempt.call[0]:
             self._judge(attempt.server, 1.0)  # silence: no part sent as late or later has been answered
-        safe = query.kind.semantics is api.Semantics.SAFE and len(part.out) == 1
+        # One copy; where both it and its twin are at ejected servers they count as failed: a try may follow.
+        failed = all(a.server.ejected_for for a in part.out)
+        safe = query.kind.semantics is api.Semantics.SAFE and (len(part.out) == 1 or failed)
         in_time = self.now + self._percentile(query, 0.5) <= query.aim_at
         parts, copies = self.sent.get(self.now), sum(a.is_copy for a in self.attempts.values())
         shut = self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
@@ -355,6 +367,8 @@
             # Guards against a jam that outlives its trigger: full queues answer fast and tell no delay.
             took = query.kind.aim if event.outcome is api.Outcome.REJECTED else event.latency
             self.mean, self.outcome_at = self.mean + (took - self.mean) / OUTCOMES, self.now
+            pace, usual = self._pace(server), max(self._percentile(query, 0.5), EPSILON)
+            server.pace, server.paced_at = pace + (took / usual - pace) / PACED, self.now
             self.met += (attempt.met - self.met) / OUTCOMES
         if not part.done and event.outcome is api.Outcome.OK:
             # Guards the delay against its own rescues: counted as the delay plus the copy's time, they would
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -526,6 +526,25 @@
     assert len(host.sends[stuck]) == 2
 
 
+@pytest.mark.parametrize(("ejected", "tries"), [(2, 3), (1, 2)])
+def test_a_third_try_goes_only_where_both_are_at_ejected_servers(ejected: int, tries: int) -> None:
+    """Found under flapping: part and copy both at silent servers, and nothing more until the client left."""
+    host = Host(replicas=4)
+    host.warm_up()
+    host.wait(10.0)
+    part = part_of(host, host.query(0))
+    host.wait(0.12)
+    assert len(host.sends[part]) == 2
+    for attempt in range(ejected):
+        server = host.module.servers[host.where(part, attempt)]
+        server.ejected_for, server.ejected_until = 4.0, host.now + 4.0
+    host.module.servers[host.where(part, 1)].reached = host.now
+    for _ in range(8):  # leaves room under the cap on copies
+        host.query(0)
+    host.wait(0.09)
+    assert len(host.sends[part]) == tries
+
+
 def wide_query_of(host: Host, parts: int, missing: int) -> list[int]:
     """A query of so many parts, all but some of which are in, while the mean time says queueing."""
     query = host.query(*range(parts))
@@ -557,6 +576,27 @@
     assert terms == [9.0, 2.0]  # nine servers, a part a second; those who would tell shorten it
 
 
+def test_a_server_much_slower_than_its_peers_is_left_for_them_and_tried_again() -> None:
+    """Found with ageing servers: each co-ordinator met one in seconds, waited for it and came again."""
+    host = Host(replicas=3)
+    host.warm_up(60)
+    host.module.servers[10].pace, host.module.servers[10].paced_at = 4.0, host.now
+    placed = [host.where(part_of(host, host.query(0))) for _ in range(4)]
+    assert 10 not in placed
+    for part in list(host.out):
+        host.finish(*part[:1])
+    host.wait(30.0)
+    assert 10 in [host.where(part_of(host, host.query(0))) for _ in range(8)]
+
+
+def test_all_slow_alike_keep_their_positions() -> None:
+    host = Host(replicas=3)
+    host.warm_up(60)
+    for server in host.module.servers.values():
+        server.pace, server.paced_at = 5.0, host.now
+    assert {host.where(part_of(host, host.query(0))) for _ in range(9)} == {10, 11, 12}
+
+
 def test_peers_are_told_of_ejections_and_two_words_eject() -> None:
     host = Host(BASE._replace(may_message_peers=True, coordinators=9), replicas=4)
     where = host.where(part := part_of(host, host.query(0)))
