--- a/gingervane/benchlink.py
+++ b/gingervane/benchlink.py
@@ -112,7 +112,7 @@
         must_ask_membership=need("MembershipMode", mode),
         start_capacity=need("Rules.StartCapacity", float),
         ramp_time=need("Rules.RampTimeS", float),
-        tip_multiple=need("Rules.TipMultiple", float),
+        fall_time=need("Rules.FallS", float),
         budget_free=maybe("Rules.BudgetFree", float),
         budget_share=maybe("Rules.ExtraRatio", float),
         budget_span=maybe("Rules.ResendSpanS", float),
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -84,7 +84,7 @@
     must_ask_membership: bool
     start_capacity: float
     ramp_time: float
-    tip_multiple: float
+    fall_time: float
     budget_free: float | None
     budget_share: float | None
     budget_span: float | None
--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -25,7 +25,7 @@
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
 HEARSAY, ID = 0.34, 8  # a peer's word, as a share of a bad part; bytes of an id in it
 SILENCE, CHANCE = 2, 1.5  # hedge delays without a word; standard deviations over a tenant's share
-OUTCOMES, RATE_SPAN = 40, 2.0  # for moving means; half-life of old news, s
+OUTCOMES, RATE_SPAN = 40, 2.0  # for moving means; half-life, and span of the count for slow start, s
 ADMIT, ADMIT_OVER_SHARE = 0.9, 0.65  # of the time to the aim: expected time of the slowest part
 BACKLOG, CROSSING = 0.35, 0.5  # of the time to the aim: age of the oldest call; calls that a crossing weighs
 PACED, PACE_FADES, SLOW = 3, 8.0, 2.5  # parts in a pace; its half-life, s; of peers' pace: left for them
@@ -62,14 +62,12 @@
     judged_at: float = 0.0
     ejected_until: float = 0.0
     ejected_for: float = 0.0  # 0: in good standing
-    lately_for: float = 0.0  # its last term, and when that ended
-    reinstated_at: float = 0.0
     reached: float = 0.0  # send time of the latest part that it has answered
     pace: float = 1.0  # times of its last parts over the median of their classes
     paced_at: float = 0.0
     cold_from: float = 0.0  # start of the slow-start ramp
-    drawn_in: int = 0  # the batch for which slow start last drew whether it is open
-    open: bool = False
+    credit: float = 0.0  # parts that slow start allows now
+    credit_at: float = 0.0
     ready: bool = False  # listed as neither draining nor gone
 
 
@@ -140,6 +138,7 @@
         self.latency = [deque[float](maxlen=SAMPLES) for c in settings.classes]
         self.usual = [c.aim * START_DELAY for c in settings.classes]  # median time of a part on good days
         self.hedges, self.failures, self.sent = _Count(WINDOW), _Count(WINDOW), _Count(WINDOW)
+        self.finished = _Count(RATE_SPAN)
         # The budget's own counts lean a tick to the safe side at both ends.
         span, tick = settings.budget_span or 0.0, settings.granularity
         self.extras, self.taken = _Count(span + tick), _Count(span - tick)
@@ -206,7 +205,6 @@
         if server.ejected_for and not bad:
             # What was silent for long may have restarted before the list says so: it starts slowly.
             server.cold_from = self.now if server.ejected_for > EJECT_FOR else server.cold_from
-            server.lately_for, server.reinstated_at = server.ejected_for, self.now
             server.ejected_for = server.badness = 0.0
             self.actions.append(api.Remark(f"replica {server.listed.id} reinstated"))
         if server.ejected_for and self.now < server.ejected_until:
@@ -222,8 +220,6 @@
             # Out for at least as long as the next part for it would take to come, to those who would tell.
             seers = self.settings.coordinators if self.settings.may_message_peers else 1
             span = max(EJECT_FOR, self.ready * WINDOW / max(self.sent.get(self.now), 1) / seers)
-            # Guards against flapping: what fails soon after its return is not believed as soon the next time.
-            span = max(span, 2 * server.lately_for * (self.now < server.reinstated_at + EJECT_MOST))
         server.ejected_for, server.ejected_until = min(span, EJECT_MOST), self.now + min(span, EJECT_MOST)
         self.actions.append(api.Remark(f"replica {server.listed.id} ejected for {server.ejected_for:g} s"))
         if bad != HEARSAY and self.settings.may_message_peers:  # hearsay is not passed on
@@ -235,12 +231,15 @@
         if not server.ready or age >= self.settings.ramp_time:
             return server.ready
         share = start + (1.0 - start) * age / self.settings.ramp_time  # surely there, by the stated ramp
-        if server.drawn_in != self.batch:
-            # Each batch draws anew whether the server is there for it. In sum over any number of co-ordinators it
-            # gets that share of what all holders of its shards carry, and that stays under what would tip it.
-            odds = self.settings.tip_multiple * share / min(self.settings.width, self.settings.cells)
-            server.drawn_in, server.open = self.batch, self.random.random() < odds
-        return server.open
+        # Credit flows as ready servers answer: a retry storm buys none. Guards against many co-ordinators:
+        # their floors together allow half a part in the time of a fall, and each starts with a random credit.
+        floor = 0.5 / self.settings.fall_time / self.settings.coordinators
+        rate = max(self.finished.get(self.now) / RATE_SPAN / self.ready, floor)
+        gained = (self.now - server.credit_at) * rate * share
+        fresh = server.credit_at < server.cold_from
+        server.credit = self.random.random() if fresh else min(1.0, server.credit + gained)
+        server.credit_at = self.now
+        return server.credit >= 1.0
 
     def _fit(self, server: _Server, query: _Query) -> bool:
         """Permitted, not backed up, and healthy or due for a trial part."""
@@ -305,6 +304,7 @@
         (self.extras if part.made else self.sent).add(self.now)
         part.next_sent = self.now if part.made == 1 else part.next_sent
         part.may_have_run[part.made] = self.now
+        server.credit = max(server.credit - 1.0, 0.0)
         call = (self.now, self.batch, self.call_now[server] // rules.parts_per_call)
         self.call_now[server] += 1
         met = sum(c[1] < self.batch for c in server.calls)
@@ -354,6 +354,7 @@
         if event.outcome.never_ran:
             del part.may_have_run[event.attempt]
         if event.outcome is api.Outcome.OK:
+            self.finished.add(self.now)
             self._judge(server, 0.0)
             # Guards against slow servers, whatever all do: one that a copy overtook in spite of its start.
             for loser in part.out if attempt.is_copy and not part.done else ():
