--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -19,17 +19,16 @@
 PERCENTILE, SAMPLES = 0.95, 200  # hedge delay, of the class's last latencies; and of the aim until there are
 START_DELAY, FEW = 0.5, 20  # FEW of them (design page)
 BREAKER_OPENS, BREAKER_CLOSES = 0.15, 0.10  # copies over parts (design page); failures over parts too
-COPY_CAP, QUEUEING = 0.25, 2.0  # copies, of the attempts out; mean time, of the usual, up to which to copy
-CREEP = 1.02  # growth of the usual time with each query, where all stays slower
+COPY_CAP, SILENCE, CHANCE = 0.25, 2, 1.5  # copies, of attempts out; hedge delays; deviations over a share
+QUEUEING, CREEP = 2.0, 1.02  # mean time, of the usual, up to which to copy; growth of that with each query
 VOUCH, EJECT_AT, MOST_EJECTED = 2.0, 0.6, 0.5  # half-life, s; a bad part ejects unless good ones vouch
 EJECT_FOR, EJECT_MOST = 2.0, 16.0  # seconds out, doubled at each failed trial
 HEARSAY, ID = 0.34, 8  # a peer's word, as a share of a bad part; bytes of an id in it
-SILENCE, CHANCE = 2, 1.5  # hedge delays without a word; standard deviations over a tenant's share
 OUTCOMES, RATE_SPAN = 40, 2.0  # for moving means; half-life, and span of the count for slow start, s
 ADMIT, ADMIT_OVER_SHARE = 0.9, 0.65  # of the time to the aim: expected time of the slowest part
 BACKLOG, CROSSING = 0.35, 0.5  # of the time to the aim: age of the oldest call; calls that a crossing weighs
 PACED, PACE_FADES, SLOW = 3, 8.0, 2.5  # parts in a pace; its half-life, s; of peers' pace: left for them
-EPSILON = 1e-6  # of weights that the wire rounds
+STALLED, EPSILON = 4, 1e-6  # batches' time that a timer may come late; of weights that the wire rounds
 ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
 
 
@@ -133,7 +132,8 @@
         self.mean = self.outcome_at = self.met = 0.0  # moving means over the last OUTCOMES
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts, self.fresh = dict[tuple[int, int], _Attempt](), dict[int, _Query]()
-        self.timers, self.labels = dict[int, Callable[[], None]](), 0
+        self.timers, self.labels = dict[int, tuple[float, Callable[[], None]]](), 0  # due, what
+        self.stalled = False  # this batch comes after a standstill of this co-ordinator
         self.call_now = Counter[_Server]()  # parts sent in this batch
         self.latency = [deque[float](maxlen=SAMPLES) for c in settings.classes]
         self.usual = [c.aim * START_DELAY for c in settings.classes]  # median time of a part on good days
@@ -147,7 +147,7 @@
         self.take: dict[type, Callable[..., None]] = {
             api.AttemptEnded: self._ended, api.MembershipChanged: self._members, api.PeerMessage: self._told,
             api.QueryArrived: self._take_query, api.PartArrived: self._take_part,
-            api.TimerFired: lambda e: self.timers.pop(e.label, lambda: None)(),
+            api.TimerFired: lambda e: self.timers.pop(e.label, (0.0, lambda: None))[1](),
             api.QueryExpired: lambda e: self._close(self.queries[e.id]) if e.id in self.queries else None,
         }
 
@@ -157,7 +157,11 @@
         self.call_now.clear()
         if self.batch == 1 and self.settings.must_ask_membership:
             self.actions.append(api.Subscribe())
-        for event in events:
+        # Guards against taking an own standstill for silence: a timer that comes late tells of one. What came
+        # meanwhile is read before any timer, and its times, which hold the standstill, are not learned from.
+        due = [self.timers.get(e.label, (now,))[0] for e in events if isinstance(e, api.TimerFired)]
+        self.stalled = now - min(due, default=now) > STALLED * self.settings.granularity
+        for event in sorted(events, key=lambda e: type(e) is api.TimerFired):
             if type(event) in self.take:  # probes are not asked
                 self.take[type(event)](event)
         fresh, self.fresh = self.fresh, {}
@@ -167,7 +171,7 @@
 
     def _timer(self, delay: float, then: Callable[[], None]) -> None:
         self.labels += 1
-        self.timers[self.labels] = then
+        self.timers[self.labels] = self.now + max(delay, 0.0), then
         self.actions.append(api.SetTimer(max(delay, 0.0), self.labels))
 
     def _members(self, event: api.MembershipChanged) -> None:
@@ -334,8 +338,8 @@
         parts, copies = self.sent.get(self.now), sum(a.is_copy for a in self.attempts.values())
         shut = self.hedges.is_open(self.now, parts) | self.failures.is_open(self.now, parts)
         # Guards stragglers: with nine tenths of its query in, a part is late by itself.
-        usual = self.usual[query.arrived.query_class]
-        shut |= self._delay() > QUEUEING * usual and query.weight_in < 1 - BREAKER_CLOSES
+        queueing = self._delay() > QUEUEING * self.usual[query.arrived.query_class]
+        shut |= queueing and query.weight_in < 1 - BREAKER_CLOSES
         shut &= not attempt.server.ejected_for  # what an ejected server holds counts as failed, not as late
         cap = max(COPY_CAP * len(self.attempts), BREAKER_CLOSES * len(query.parts))
         if safe and in_time and not shut and copies < cap:
@@ -357,13 +361,14 @@
             self.finished.add(self.now)
             self._judge(server, 0.0)
             # Guards against slow servers, whatever all do: one that a copy overtook in spite of its start.
-            for loser in part.out if attempt.is_copy and not part.done else ():
+            for loser in part.out if attempt.is_copy and not part.done and not self.stalled else ():
                 self._judge(loser.server, 1.0)
         elif event.outcome not in (api.Outcome.CANCELLED, api.Outcome.NEVER_SENT):
             self.failures.add(self.now)
             self._judge(server, 1.0)
-        if event.outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.REJECTED):
-            server.reached = max(server.reached, attempt.call[0])
+        answered = event.outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.REJECTED)
+        server.reached = max(server.reached, attempt.call[0] if answered else 0.0)
+        if answered and not self.stalled:
             # Guards against a jam that outlives its trigger: full queues answer fast and tell no delay.
             took = query.kind.aim if event.outcome is api.Outcome.REJECTED else event.latency
             self.mean, self.outcome_at = self.mean + (took - self.mean) / OUTCOMES, self.now
@@ -373,7 +378,8 @@
         if not part.done and event.outcome is api.Outcome.OK:
             # Guards the delay against its own rescues: counted as the delay plus the copy's time, they would
             # raise the percentile to the aim where over 5% of parts meet silence. They count as the delay.
-            query.latency.append(max(event.latency, part.next_sent - part.first_sent))
+            if not self.stalled:
+                query.latency.append(max(event.latency, part.next_sent - part.first_sent))
             self._drop([part])
             query.weight_in += part.arrived.weight
             self._settle(query)
@@ -399,8 +405,8 @@
         self.queries[event.id] = self.by_number[event.number] = self.fresh[event.id] = query
         self.taken.add(self.now)
         self.tenants[event.tenant].add(self.now)
-        usual = self.usual[event.query_class]
-        self.usual[event.query_class] = min(usual * CREEP, self._percentile(query, 0.5))
+        usual = min(self.usual[event.query_class] * CREEP, self._percentile(query, 0.5))
+        self.usual[event.query_class] = usual
         self._timer(answer_by - self.now, lambda: self._overdue(query))
         if kind.least_share < kind.whole_share:
             self._timer(aim_at - 2 * self.settings.granularity - self.now, lambda: self._settle(query))
@@ -423,8 +429,7 @@
             part.lost = other is None or not self._send(part, other)
         if not admitted:
             self._give_up(query)
-        else:
-            self._settle(query)
+        self._settle(query)
 
     def _delay(self, row: list[_Server] | None = None) -> float:
         """Mean time of a part in these servers or all: the last one, scaled by the calls out now and then."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -763,6 +763,28 @@
     assert refused == [False, True]
 
 
+# ---- own standstill
+
+
+def test_what_came_during_an_own_standstill_is_read_before_timers() -> None:
+    """Found with co-ordinators that stand still: timers first, so silence was judged and copies sent."""
+    host = Host()
+    host.warm_up()
+    host.wait(15.0)
+    part = part_of(host, host.query(0))
+    where, learned = host.where(part), list(host.module.latency[0])
+    due = [label for _, label in sorted(host.timers)]
+    host.now += 1.0
+    del host.out[part, 0]
+    host.results[part, 0] = OK
+    host.ok.add(part)
+    fired = [api.TimerFired(label) for label in due]
+    actions = host.feed(*fired, api.AttemptEnded(part, 0, where, OK, 1.0))
+    assert not sends(actions) and any(isinstance(a, api.Answer) for a in actions)
+    assert not host.module.servers[where].ejected_for
+    assert list(host.module.latency[0]) == learned
+
+
 # ---- completion
 
 
