--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -334,7 +334,7 @@
         attempt.waits += 1
         if attempt.waits % SILENCE == 0 and attempt.server.reached < attempt.call[0]:
             self._judge(attempt.server, 1.0)  # silence: no part sent as late or later has been answered
-            self.idle_limit, self.limit_at = min(self.idle_limit, attempt.idle), self.now
+            self.idle_limit, self.limit_at = min(self.idle_limit, max(attempt.idle, query.kind.aim)), self.now
         # One copy; where both it and its twin are at ejected servers they count as failed: a try may follow.
         failed = all(a.server.ejected_for for a in part.out)
         safe = query.kind.semantics is api.Semantics.SAFE and (len(part.out) == 1 or failed)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -784,6 +784,20 @@
     assert not [a for a in host.log[seen:] if isinstance(a, api.CloseIdle)]
 
 
+def test_silence_after_a_short_pause_says_nothing_of_idle_connections() -> None:
+    """Found at a quiet site: after any silence nearly every connection was shut before each send."""
+    host = Host(replicas=3)
+    host.warm_up()
+    for _ in range(3):
+        host.query(0)
+        host.wait(0.6)
+    seen = len(host.log)
+    for _ in range(6):
+        host.query(0)
+        host.wait(0.1)
+    assert not [a for a in host.log[seen:] if isinstance(a, api.CloseIdle)]
+
+
 # ---- own standstill
 
 
