--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -786,16 +786,19 @@
 
 def test_silence_after_a_short_pause_says_nothing_of_idle_connections() -> None:
     """Found at a quiet site: after any silence nearly every connection was shut before each send."""
-    host = Host(replicas=3)
+    host = Host(BASE._replace(classes=(query_class(aim=4.0, deadline=9.0),)), replicas=3)
     host.warm_up()
-    for _ in range(3):
-        host.query(0)
-        host.wait(0.6)
+    for server in host.module.servers.values():
+        server.used = host.now - 0.3
+    host.query(0)
+    host.wait(0.5)  # silence
     seen = len(host.log)
     for _ in range(6):
-        host.query(0)
-        host.wait(0.1)
-    assert not [a for a in host.log[seen:] if isinstance(a, api.CloseIdle)]
+        part = part_of(host, host.query(0))
+        host.wait(0.05)
+        host.finish(part)
+        host.wait(0.45)
+    assert sends(host.log[seen:]) and not [a for a in host.log[seen:] if isinstance(a, api.CloseIdle)]
 
 
 # ---- own standstill
