--- a/gingervane/benchlink.py
+++ b/gingervane/benchlink.py
@@ -8,11 +8,11 @@
 
 import struct
 import sys
-from collections.abc import Callable
 from typing import Any, BinaryIO, TypeVar
 
 from gingervane import interface as api
 from gingervane.policy import Coordinator
+from gingervane.startup import SettingsError, read_settings
 
 T = TypeVar("T")
 
@@ -49,74 +49,9 @@
     """The other side sent something that this adapter cannot read."""
 
 
-class SettingsError(WireError):
-    """A key that the module needs is missing or malformed."""
-
-
 def parse_settings(text: str) -> api.Settings:
     """Read the start-up settings; unknown keys are skipped, a needed key that is absent or bad is named."""
-    pairs = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
-
-    def need(key: str, read: Callable[[str], T]) -> T:
-        if key not in pairs:
-            raise SettingsError(f"settings: key {key} is missing")
-        try:
-            return read(pairs[key])
-        except (ValueError, KeyError, IndexError):
-            raise SettingsError(f"settings: key {key} has the bad value {pairs[key]!r}") from None
-
-    def maybe(key: str, read: Callable[[str], T]) -> T | None:
-        return need(key, read) if pairs.get(key) else None
-
-    def flag(value: str) -> bool:
-        return {"true": True, "false": False}[value]
-
-    def per_class(key: str, read: Callable[[str], T], index: int) -> T:
-        return need(key, lambda value: read(value.split(",")[index]))
-
-    def mode(value: str) -> bool:
-        return {"ask": True, "push": False}[value]
-
-    def query_class(i: int) -> api.QueryClass:
-        semantics = need(f"Classes.{i}.Semantics", api.Semantics)
-        keyed = semantics is api.Semantics.KEYED
-        return api.QueryClass(
-            aim=need(f"Classes.{i}.AimS", float),
-            deadline=need(f"Classes.{i}.DeadlineS", float),
-            semantics=semantics,
-            repeat_window=need(f"Classes.{i}.WindowS", float) if keyed else None,
-            second_step_parts=per_class("Extra.ClassFetch", int, i),
-            least_share=per_class("Extra.MinShare", float, i),
-            whole_share=per_class("Extra.WholeAt", float, i),
-            aim_stretch=maybe(f"Classes.{i}.AimStretch", float),
-            late_worth=need(f"Classes.{i}.LateWorth", float),
-            short_worth=per_class("Extra.ShortWorth", float, i),
-        )
-
-    tenants = range(need("Tenants.count", int) if "Tenants.count" in pairs else 0)
-    return api.Settings(
-        coordinators=need("Balancers", int),
-        zone=need("Locality", int),
-        classes=tuple(query_class(i) for i in range(need("Classes.count", int))),
-        tenant_quotas=tuple(maybe(f"Tenants.{i}.QuotaPerS", float) for i in tenants),
-        granularity=need("GranularityS", float),
-        cells=need("Extra.Sets", int),
-        width=need("Extra.Width", int),
-        parts_per_call=need("Extra.PerCall", int),
-        most_attempts=need("Limits.SendCap", int),
-        may_cancel=need("Limits.Cancelling", flag),
-        may_message_peers=need("Limits.Peers", flag),
-        may_copy=need("Limits.SecondCopies", flag),
-        may_advise_wait=need("Limits.RetryAfter", flag),
-        longest_wait_advice=need("Limits.MaxRetryAfterS", float),
-        must_ask_membership=need("MembershipMode", mode),
-        start_capacity=need("Rules.StartCapacity", float),
-        ramp_time=need("Rules.RampTimeS", float),
-        fall_time=need("Rules.FallS", float),
-        budget_free=maybe("Rules.BudgetFree", float),
-        budget_share=maybe("Rules.ExtraRatio", float),
-        budget_span=maybe("Rules.ResendSpanS", float),
-    )
+    return read_settings(dict(line.split("=", 1) for line in text.splitlines() if "=" in line))
 
 
 def encode(action: api.Action) -> bytes:
@@ -296,7 +231,7 @@
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except WireError as error:
+    except (WireError, SettingsError) as error:
         print(f"gingervane: {error}", file=sys.stderr)
         return 2
     return 0
--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -149,17 +149,47 @@
     def broke(self, error: BaseException) -> None: ...
 
 
+class Carrier(Protocol):
+    """Carries calls out. All but the reports of endings is asked for by the decision thread and must not block."""
+
+    @property
+    def held(self) -> int:
+        """Calls taken that have not ended."""
+
+    def start(self, call: t.Call) -> bool:
+        """Take a call; each of its errands is reported once. False: no room, and nothing of it was begun."""
+
+    def call_off(self, call: t.Call) -> None:
+        """No errand of the call is waited for any more."""
+
+    def withdraw(self, call: t.Call, errand: t.Errand) -> None:
+        """A claimed errand is not waited for any more."""
+
+    def drop_idle(self, address: tuple[str, int]) -> None:
+        """Close the idle connections to an address."""
+
+    def close(self) -> None:
+        """Begin nothing more, and let go of what is held open."""
+
+
+class Outside(NamedTuple):
+    """What the module may ask for beyond calls and answers; called on the decision thread, must not block."""
+
+    subscribe: Callable[[], None] = lambda: None
+    tell_peers: Callable[[bytes], None] = lambda payload: None
+
+
 class Core:
     """Owns the decision thread. Each ticket that `submit` gives out is settled exactly once."""
 
     def __init__(
         self, module: Module, settings: api.Settings, bounds: Bounds, observer: Observer,
-        senders: Callable[[Callable[[list[t.Ended]], None]], Senders],
+        senders: Callable[[Callable[[list[t.Ended]], None]], Carrier], outside: Outside | None = None,
     ) -> None:
         self.settings, self.admission = settings, Admission(bounds, settings.longest_wait_advice)
         self._driver = Driver(module, settings)
         self._driver.observe = observer.attempt
-        self.observer = observer
+        self.observer, self._outside = observer, outside or Outside()
         self._inbox: SimpleQueue[list[t.Input]] = SimpleQueue()
         self._senders = senders(self._take_endings)
         self._ids = itertools.count(1)
@@ -198,6 +228,11 @@
         """A server list has come, or has changed."""
         self._inbox.put([listed])
 
+    def heard(self, sender: int, payload: bytes) -> None:
+        """Another co-ordinator has sent a message. Messages may be lost: with much to read, these go first."""
+        if self._inbox.qsize() < _MOST_A_BATCH:
+            self._inbox.put([t.Heard(sender, payload)])
+
     def stop(self, grace: float) -> None:
         """Take nothing new, let what is held be answered for `grace` seconds, refuse or fail the rest, and end."""
         self.admission.close("shutting down")
@@ -251,12 +286,18 @@
                         ]
                 case t.CallOff(call):
                     self._senders.call_off(call)
+                case t.Withdraw(call, errand):
+                    self._senders.withdraw(call, errand)
                 case t.DropIdle(address):
                     self._senders.drop_idle(address)
                 case t.Settle(settled, final, _):
                     settled(final)
                 case t.Note(text):
                     self.observer.remark(text)
+                case t.Subscribe():
+                    self._outside.subscribe()
+                case t.Tell(payload):
+                    self._outside.tell_peers(payload)
         if refused:
             self._inbox.put(list(refused))
 
--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -48,11 +48,13 @@
 class _Query:
     id: int
     arrived: t.Arrived
-    parts: list[int] = field(default_factory=list)
+    asked: dict[int, t.PartPlan] = field(default_factory=dict)  # the present step's parts, by index
+    parts: list[int] = field(default_factory=list)  # ids, of both steps
     results: dict[int, Any] = field(default_factory=dict)
     path: list[t.AttemptNote] = field(default_factory=list)
     why: str = ""
     held_bytes: int = 0  # of results
+    second: bool = False  # in its second step
 
 
 @dataclass
@@ -123,6 +125,9 @@
                 case t.Listed(event, addresses):
                     self._addresses.update(addresses)
                     events.append(event)
+                    events += self._hold_back(event, now, effects)
+                case t.Heard(sender, payload):
+                    events.append(api.PeerMessage(sender, payload))
                 case t.Shutdown():
                     self._closed = True
                     closing = self._shut() | closing
@@ -157,14 +162,40 @@
             closing[arrived.id] = t.Verdict.REFUSED, "shutting down"
             return []
         events: list[api.Event] = [
-            api.QueryArrived(arrived.id, arrived.id, plan.query_class, 0, len(plan.parts), plan.deadline, False, 0.0)
+            api.QueryArrived(
+                arrived.id, arrived.id, plan.query_class, 0, len(plan.parts), plan.deadline, plan.is_repeat,
+                plan.predicted_cost,
+            )
         ]
-        for index, part in enumerate(plan.parts):
+        return events + self._ask(query, plan.parts, 0)
+
+    def _ask(self, query: _Query, parts: tuple[t.PartPlan, ...], base: int) -> list[api.Event]:
+        """Enter the parts of a step, whose indexes start at `base`."""
+        events: list[api.Event] = []
+        query.asked = dict(enumerate(parts, base))
+        for index, part in query.asked.items():
             number, self._next_part = self._next_part, self._next_part + 1
             self._parts[number] = _Part(query, index, part)
             query.parts.append(number)
             self.counts.parts += 1
-            events.append(api.PartArrived(number, arrived.id, part.shard, part.weight))
+            events.append(api.PartArrived(number, query.id, part.shard, part.weight))
+        return events
+
+    def _hold_back(
+        self, event: api.MembershipChanged, now: float, effects: list[t.Effect],
+    ) -> list[api.Event]:
+        """What was decided before a replica was known to drain and has not begun to leave does not leave later."""
+        closed = {r.id for r in event.replicas if r.state is not api.ReplicaState.READY}
+        if event.kind is api.ListKind.FULL:
+            closed |= self._addresses.keys() - {r.id for r in event.replicas}
+        if not closed:
+            return []
+        out = [(n, a) for n, part in self._parts.items() for a in part.out.values() if a.replica in closed]
+        events: list[api.Event] = []
+        for number, attempt in out:
+            if attempt.errand and attempt.errand.claim():
+                never = t.Ended(number, attempt.number, api.Outcome.NEVER_SENT, now, None, "its replica drains")
+                events += self._end(never, effects)
         return events
 
     def _end(self, ended: t.Ended, effects: list[t.Effect]) -> list[api.Event]:
@@ -178,7 +209,7 @@
         outcome = ended.outcome
         part.ran += not outcome.never_ran
         if outcome is api.Outcome.OK:
-            if query.id in self._queries and part.index not in query.results:
+            if query.id in self._queries and part.index in query.asked and part.index not in query.results:
                 query.results[part.index] = ended.result
                 query.held_bytes += query.arrived.plan.exchange.size(ended.result)
                 self.held_bytes += query.arrived.plan.exchange.size(ended.result)
@@ -208,6 +239,8 @@
             return []
         if attempt.errand and attempt.errand.claim():
             outcome = api.Outcome.NEVER_SENT
+        elif attempt.errand and attempt.call:
+            effects.append(t.Withdraw(attempt.call, attempt.errand))
         return self._end(t.Ended(part, number, outcome, now, None, why), effects)
 
     def _shut(self) -> dict[int, tuple[t.Verdict, str]]:
@@ -243,6 +276,10 @@
                         effects.append(t.DropIdle(self._addresses[replica]))
                 case api.Remark(text):
                     effects.append(t.Note(text))
+                case api.Subscribe():
+                    effects.append(t.Subscribe())
+                case api.TellPeers(payload):
+                    effects.append(t.Tell(payload))
         # What was called off in the batch that made it never leaves.
         effects[:] = [e for e in effects if not isinstance(e, t.Start) or e.call.live]
 
@@ -284,31 +321,41 @@
 
     def _answer(self, number: int, whole: bool, effects: list[t.Effect]) -> None:
         query = self._queries.get(number)
-        if query and whole and len(query.results) < len(query.arrived.plan.parts):
+        if query and whole and len(query.results) < len(query.asked):
             if self._settings.classes[query.arrived.plan.query_class].whole_share < 1.0:
                 # As good as whole for its class; what is missing is said all the same.
-                self._settle(number, t.Verdict.SHORT, effects)
+                self._answer_step(query, t.Verdict.SHORT, whole, effects)
                 return
             # The module counted what is not here. It cannot happen; were it to, no one gets a false answer.
             self._settle(number, t.Verdict.FAILED, effects, why="internal: a part of a whole answer is missing")
             return
-        self._settle(number, t.Verdict.WHOLE if whole else t.Verdict.SHORT, effects)
+        if query:
+            self._answer_step(query, t.Verdict.WHOLE if whole else t.Verdict.SHORT, whole, effects)
+
+    def _answer_step(self, query: _Query, verdict: t.Verdict, whole: bool, effects: list[t.Effect]) -> None:
+        """The end of the query, or of its first step where the class has a second one."""
+        plan, first = query.arrived.plan, query.results
+        if plan.second_step is None or query.second:
+            self._settle(query.id, verdict, effects, whole=whole)
+            return
+        query.second, query.results = True, {}
+        self._again += self._ask(query, plan.second_step(first, whole), len(plan.parts))
 
     def _settle(
         self, number: int, verdict: t.Verdict, effects: list[t.Effect], wait: float = 0.0, why: str = "",
+        whole: bool = False,
     ) -> None:
         query = self._queries.pop(number, None)
         if query is None:
             return
-        plan = query.arrived.plan
-        coverage = sum(plan.parts[i].weight for i in query.results)
+        coverage = sum(query.asked[i].weight for i in query.results)
         answered = verdict in (t.Verdict.WHOLE, t.Verdict.SHORT)
         results = query.results if answered else {}
         self.held_bytes -= query.held_bytes
         size = query.held_bytes if answered else 0
         if not query.path and verdict is t.Verdict.REFUSED and not why:
             why = "nothing was sent: too much is waiting, or a part has no replica that may be asked"
-        final = t.Final(verdict, results, wait, why or query.why, query.path, min(coverage, 1.0), size)
+        final = t.Final(verdict, results, wait, why or query.why, query.path, min(coverage, 1.0), size, whole)
         self.counts.verdicts[verdict.value] = self.counts.verdicts.get(verdict.value, 0) + 1
         effects.append(t.Settle(query.arrived.settled, final, number))
         for part in query.parts:
--- a/gingervane/coordinator/sender.py
+++ b/gingervane/coordinator/sender.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from queue import SimpleQueue
 from threading import Lock, Thread
-from typing import NamedTuple
+from typing import NamedTuple, cast
 
 from gingervane.coordinator import endings
 from gingervane.coordinator import types as t
@@ -72,6 +72,9 @@
         if isinstance(call.token, Lease):
             call.token.call_off()
 
+    def withdraw(self, call: t.Call, errand: t.Errand) -> None:
+        """A request is given up as a whole, by `call_off`: HTTP/1.1 cannot take back one part of it."""
+
     def drop_idle(self, address: tuple[str, int]) -> None:
         self._pool.drop(address)
 
@@ -96,6 +99,7 @@
         if lease.off:
             return _all(call, lambda e: Outcome.NEVER_SENT, "called off")
         phase, wrote, connection = Phase.CONNECTING, 0, self._pool.take(call.address)
+        exchange = cast(t.Exchange, call.exchange)
         try:
             if connection is None:
                 left = min(self._limits.connect_timeout, call.stop_at - time.monotonic())
@@ -115,7 +119,7 @@
             contents = [errand.content for errand in errands]
             connection.until = call.stop_at
             left = call.stop_at - time.monotonic()
-            data = call.exchange.write(contents, left, call.address)
+            data = exchange.write(contents, left, call.address)
             connection.write(data)
             phase, wrote = Phase.READING, len(data)
             reply = connection.reader.response()
@@ -136,7 +140,7 @@
         else:
             connection.close()
         try:
-            results = call.exchange.read(contents, reply.status, reply.headers.get, body)
+            results = exchange.read(contents, reply.status, reply.headers.get, body)
         except t.BadReply as error:
             proof, busy = error.proven_idle, error.overloaded
             return _all(call, lambda e: endings.refused(e.semantics, proof, busy), str(error), at)
--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -16,19 +16,23 @@
 HAND_OVER = 0.05
 
 
-class Exchange(Protocol):
-    """How parts of one protocol travel to a replica in one call. Free of I/O; called from sender threads."""
+class Travel(Protocol):
+    """How parts of one protocol travel to a replica in one call. Free of I/O; called from sending threads."""
 
     def write(self, contents: list[Any], seconds_left: float, address: tuple[str, int]) -> bytes:
         """The whole request for these parts."""
 
-    def read(self, contents: list[Any], status: int, header: Callable[[str], str], body: bytes) -> list[Any]:
-        """A result for each part; raises BadReply for a reply that may not count."""
-
     def size(self, result: Any) -> int:
         """Bytes that a result holds in memory, roughly."""
 
 
+class Exchange(Travel, Protocol):
+    """Where a call is one request on a connection of its own, and its reply holds a result for each part."""
+
+    def read(self, contents: list[Any], status: int, header: Callable[[str], str], body: bytes) -> list[Any]:
+        """A result for each part; raises BadReply for a reply that may not count."""
+
+
 class BadReply(Exception):
     """A replica's reply that does not count, and why. `proven_idle`: it says that nothing was begun."""
 
@@ -51,15 +55,26 @@
     by_run: tuple[Any, ...] = ()
 
 
+# The parts of a class's second step, of the first step's results (by index in the plan) and whether it was whole.
+SecondStep = Callable[[dict[int, Any], bool], tuple[PartPlan, ...]]
+
+
 @dataclass(frozen=True)
 class QueryPlan:
-    """A query that a front has read. `deadline`: when the client's time is up. `tag`: for logs."""
+    """A query that a front has read. `deadline`: when the client's time is up. `tag`: for logs.
+
+    `is_repeat`: the client says that it asked before. `predicted_cost`: seconds of work, 0 where nothing tells.
+    `second_step`: for classes that have one; called on the decision thread as the first step ends.
+    """
 
     query_class: int
     deadline: float
     parts: tuple[PartPlan, ...]
-    exchange: Exchange
+    exchange: Travel
     tag: str = ""
+    is_repeat: bool = False
+    predicted_cost: float = 0.0
+    second_step: SecondStep | None = None
 
 
 class Verdict(Enum):
@@ -86,7 +101,11 @@
 
 @dataclass
 class Final:
-    """The one end of a query. `results`: by index of the plan's parts, of those that are in."""
+    """The one end of a query. `results`: by index of the plan's parts, of those that are in.
+
+    After a second step they are that step's, whose indexes go on after the plan's. `marked_whole`: the module's
+    word, which a class's `whole_share` may let it give with a part missing.
+    """
 
     verdict: Verdict
     results: dict[int, Any] = field(default_factory=dict)
@@ -95,6 +114,7 @@
     path: list[AttemptNote] = field(default_factory=list)
     coverage: float = 0.0  # share of the weight that is in
     held_bytes: int = 0
+    marked_whole: bool = False
 
 
 # Where a query's one final answer goes. Called once, on the decision thread; must not block.
@@ -138,7 +158,14 @@
     """End all that is held: refused where that is harmless, else failed."""
 
 
-Input = Arrived | Ended | Left | Listed | Shutdown
+class Heard(NamedTuple):
+    """A message from another co-ordinator, by its number in the settings."""
+
+    sender: int
+    payload: bytes
+
+
+Input = Arrived | Ended | Left | Listed | Shutdown | Heard
 
 
 # ---- what the driver asks for
@@ -172,7 +199,7 @@
     id: int
     replica: int
     address: tuple[str, int]
-    exchange: Exchange
+    exchange: Travel
     errands: list[Errand]
     stop_at: float
     live: int = 0
@@ -203,6 +230,13 @@
     call: Call
 
 
+class Withdraw(NamedTuple):
+    """Nobody waits for this errand any more, which had been claimed; others of its call may be waited for."""
+
+    call: Call
+    errand: Errand
+
+
 class DropIdle(NamedTuple):
     address: tuple[str, int]
 
@@ -219,4 +253,14 @@
     text: str
 
 
-Effect = Start | CallOff | DropIdle | Settle | Note
+class Subscribe(NamedTuple):
+    """Ask for membership changes to be pushed from now on."""
+
+
+class Tell(NamedTuple):
+    """A message to every other co-ordinator."""
+
+    payload: bytes
+
+
+Effect = Start | CallOff | Withdraw | DropIdle | Settle | Note | Subscribe | Tell
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -133,6 +133,7 @@
         self._listener = socket.create_server((host, port), backlog=512)
         self.address: tuple[str, int] = self._listener.getsockname()[:2]
         self._stop, self._gone = threading.Event(), _Gone()
+        self._winding_down = False  # every reply now ends its connection
         self._still = Standstill(time.monotonic())
         self._lock = threading.Lock()
         self._busy: dict[socket.socket, bool] = {}  # connection -> a request of it is being worked on
@@ -158,17 +159,32 @@
     def connections(self) -> int:
         return len(self._busy)
 
-    def stop(self, grace: float) -> None:
-        """Accept no more, shut idle connections, and give those at work `grace` seconds to write their replies."""
+    def wind_down(self) -> None:
+        """Go on accepting and serving, but end each connection after its reply, and idle ones now."""
+        self._winding_down = True
+        self._end_idle()
+
+    def stop_accepting(self) -> None:
+        """Take no new connection; what is read on those that are open is served."""
+        self.wind_down()
         self._stop.set()
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
+
+    def _end_idle(self) -> None:
+        """Read no more where no request is open: one that has come already is still served, then comes the end."""
         with self._lock:
-            threads, idle = list(self._threads), [sock for sock, busy in self._busy.items() if not busy]
+            idle = [sock for sock, busy in self._busy.items() if not busy]
         for sock in idle:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RD)
+
+    def stop(self, grace: float) -> None:
+        """Accept no more, shut idle connections, and give those at work `grace` seconds to write their replies."""
+        self.stop_accepting()
+        with self._lock:
+            threads = list(self._threads)
         until = time.monotonic() + grace
         for thread in threads:
             thread.join(max(until - time.monotonic(), 0.0))
@@ -232,7 +248,7 @@
             return sock.recv(most)
 
         reader = http1.Reader(receive, self._limits.message)
-        while not self._stop.is_set():
+        while True:
             if not reader.waiting:  # the time for a head runs from its first byte
                 sock.settimeout(self._limits.idle)
                 try:
@@ -270,7 +286,7 @@
             try:
                 if reply.until is not None and time.monotonic() >= reply.until:
                     return  # the client's time is up: the close tells it; an answer now would be a second one
-                close = reply.close or not request.keep_alive or self._stop.is_set()
+                close = reply.close or not request.keep_alive or self._winding_down
                 self._write(sock, reply._replace(close=close))
             finally:
                 reply.done()
--- /dev/null
+++ b/gingervane/node/config.py
@@ -0,0 +1,109 @@
+"""What the platform tells a co-ordinator: the file that `NODE_CONFIG` names, read whole or refused with one error."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import orjson
+
+from gingervane import interface as api
+from gingervane.startup import SettingsError, flatten, read_settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used: which key, and what is wrong with it."""
+
+
+class Config(NamedTuple):
+    """Sizes in bytes, times in seconds. `raw_settings`: flattened, for what the module does not need."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    known: Any
+    settings: api.Settings
+    zones: tuple[str, ...]
+    class_names: tuple[str, ...]
+    shards: int
+    me: int
+    streams: int
+    conn_idle: float
+    connect_timeout: float
+
+
+def read(path: Path) -> Config:
+    """Raises ConfigError."""
+    try:
+        data = orjson.loads(path.read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if not isinstance(data, dict) or not isinstance(data.get("settings"), dict):
+        raise ConfigError(f"{path}: settings: missing or no table")
+    pairs = flatten(data["settings"])
+    try:
+        settings = read_settings(pairs)
+        return Config(
+            name=str(data.get("name", "")),
+            listen=address(data, "listen"),
+            discovery=address(data, "discovery"),
+            seed=_number(str(data.get("seed", "0")), "seed", 16),
+            sockets=_number(str(data.get("limits", {}).get("sockets", 1024)), "limits.sockets"),
+            peer_listen=address(data, "peer_listen") if data.get("peer_listen") else None,
+            peers=tuple(parse_address(p, "peers") for p in data.get("peers", [])),
+            peers_all=address(data, "peers_all") if data.get("peers_all") else None,
+            known=data.get("known"),
+            settings=settings,
+            zones=tuple(filter(None, pairs.get("Zones", "").split(","))),
+            class_names=tuple(_need(pairs, f"Classes.{i}.Name") for i in range(len(settings.classes))),
+            shards=_number(_need(pairs, "Extra.Shards"), "settings: Extra.Shards"),
+            me=_number(pairs.get("Ordinal", "0"), "settings: Ordinal"),
+            streams=_number(_need(pairs, "Limits.StreamsPerConn"), "settings: Limits.StreamsPerConn"),
+            conn_idle=_seconds(pairs, "Limits.ConnIdleS"),
+            connect_timeout=_seconds(pairs, "Limits.ConnectTimeoutS"),
+        )
+    except (SettingsError, ConfigError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    except (TypeError, AttributeError) as error:
+        raise ConfigError(f"{path}: a key of the wrong form: {error}") from None
+
+
+def address(data: dict[str, Any], key: str) -> Address:
+    return parse_address(data.get(key), key)
+
+
+def parse_address(text: object, key: str) -> Address:
+    """`HOST:PORT`. Raises ConfigError."""
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{key}: {text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def _need(pairs: dict[str, str], key: str) -> str:
+    if not pairs.get(key):
+        raise ConfigError(f"settings: key {key} is missing")
+    return pairs[key]
+
+
+def _number(text: str, key: str, base: int = 10) -> int:
+    try:
+        return int(text, base)
+    except ValueError:
+        raise ConfigError(f"{key}: {text!r} is not a number") from None
+
+
+def _seconds(pairs: dict[str, str], key: str) -> float:
+    try:
+        return float(_need(pairs, key))
+    except ValueError:
+        raise ConfigError(f"settings: {key}: {pairs[key]!r} is not a number") from None
--- /dev/null
+++ b/gingervane/node/discovery.py
@@ -0,0 +1,189 @@
+"""The replica list from discovery: one watch, followed while the module wants one.
+
+Owners: one thread connects, reads and tells the core. `follow` (the decision thread, as the module subscribes) and
+`move` (the main thread, on a new configuration) only set what it looks at and wake it. Entries that cannot be read
+are skipped with a line in the log; what stands stays in force.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import socket
+import time
+from collections.abc import Callable
+from threading import Condition, Thread
+from typing import Any
+
+import orjson
+
+from gingervane import interface as api
+from gingervane.coordinator import types as t
+from gingervane.wire import http1
+from gingervane.wire.http1 import Closed, HttpError, Limits, Reader
+
+Address = tuple[str, int]
+SILENCE = 3.0  # seconds: an empty line is due every 2 s, and one that is late by half is not coming
+_STATES = {
+    "SERVING": api.ReplicaState.READY, "DRAINING": api.ReplicaState.DRAINING, "DELETED": api.ReplicaState.GONE,
+}
+_MOST_LINE = 1 << 20
+
+
+class ListError(Exception):
+    """Something that discovery sent and that cannot be used."""
+
+
+def replica_id(host: str) -> int:
+    """The number by which all co-ordinators know a replica: of its host's name alone."""
+    return int.from_bytes(hashlib.blake2b(host.encode(), digest_size=8).digest(), "big")
+
+
+class ListReader:
+    """Turns discovery's lists into the driver's input. `clock_offset`: this clock's seconds less Unix time."""
+
+    def __init__(self, zones: tuple[str, ...], clock_offset: float, log: Callable[[str], None]) -> None:
+        self._zones, self._offset, self._log = zones, clock_offset, log
+        self.version = 0
+
+    def read(self, data: Any, cached: bool = False) -> t.Listed | None:
+        """A list or its changes; None for one that is older than what is held. Raises ListError."""
+        try:
+            version, whole, hosts = int(data["seq"]), bool(data["whole"]), data["hosts"]
+        except (TypeError, KeyError, ValueError):
+            raise ListError("discovery: not a list with seq, whole and hosts") from None
+        if not isinstance(hosts, list):
+            raise ListError("discovery: hosts is no list")
+        if not whole and version <= self.version:
+            return None
+        self.version = version
+        replicas, addresses = [], {}
+        for entry in hosts:
+            try:
+                replica, where = self._entry(entry)
+            except (TypeError, KeyError, ValueError) as error:
+                self._log(f"discovery: entry skipped: {type(error).__name__}: {error}: {str(entry)[:200]}")
+                continue
+            replicas.append(replica)
+            addresses[replica.id] = where
+        kind = api.ListKind.CACHED if cached else api.ListKind.FULL if whole else api.ListKind.DELTA
+        return t.Listed(api.MembershipChanged(kind, tuple(replicas)), addresses)
+
+    def _entry(self, entry: Any) -> tuple[api.Replica, Address]:
+        host, _, port = str(entry["dial"]).rpartition(":")
+        born = float(entry.get("born_ms", 0))
+        if not host or not 0 < int(port) < 65536:
+            raise ValueError("dial is not HOST:PORT")
+        zone = self._zones.index(entry["site"]) if entry.get("site") in self._zones else -1
+        replica = api.Replica(
+            id=replica_id(str(entry["host"])), cell=int(entry["block"]), zone=zone,
+            weight=float(entry.get("share", 1.0)), state=_STATES[entry["health"]],
+            # 0 is long ago. One offset for good: a start that seemed to move would pass for a restart.
+            started_at=born / 1000 + self._offset if born else 0.0,
+        )
+        return replica, (host, int(port))
+
+
+class Watch:
+    """Follows discovery."""
+
+    def __init__(
+        self, where: Address, reader: ListReader, tell: Callable[[t.Listed], None], log: Callable[[str], None],
+    ) -> None:
+        self._where, self._reader, self._tell, self._log = where, reader, tell, log
+        self._change = Condition()
+        self._wanted = self._moved = self._stopped = False
+        self._sock: socket.socket | None = None
+
+    def start(self) -> None:
+        Thread(target=self._run, name="discovery", daemon=True).start()
+
+    def follow(self) -> None:
+        """The module wants changes pushed."""
+        with self._change:
+            self._wanted = True
+            self._change.notify()
+
+    def move(self, where: Address) -> None:
+        """Discovery is at another address from now on."""
+        with self._change:
+            if where == self._where:
+                return
+            self._where, self._moved = where, True
+            self._change.notify()
+            self._wake()
+
+    def stop(self) -> None:
+        with self._change:
+            self._stopped = True
+            self._change.notify()
+            self._wake()
+
+    def _wake(self) -> None:
+        if self._sock:
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
+
+    def _run(self) -> None:
+        while True:
+            with self._change:
+                while not (self._wanted or self._moved or self._stopped):
+                    self._change.wait()
+                if self._stopped:
+                    return
+                self._wanted = self._moved = False
+                where = self._where
+            try:
+                self._follow(where)
+            except (OSError, HttpError, Closed, ListError) as error:
+                with self._change:
+                    moved = self._moved
+                if not moved:  # the module says when to ask again
+                    self._log(f"discovery: watch at {where[0]}:{where[1]} ended: {error}")
+                    self._tell(t.Listed(api.MembershipChanged(api.ListKind.FAILED, ()), {}))
+
+    def _follow(self, where: Address) -> None:
+        sock = socket.create_connection(where, SILENCE)
+        try:
+            with self._change:
+                if self._moved or self._stopped:
+                    return
+                self._sock = sock
+            target = f"/v1/endpoints?follow=1&since={self._reader.version}"
+            sock.sendall(http1.head(f"GET {target} HTTP/1.1", [("Host", f"{where[0]}:{where[1]}")]))
+            reader = Reader(sock.recv, Limits(body=_MOST_LINE))  # each wait is bounded by SILENCE
+            reply = reader.response()
+            if reply.status != 200 or not reply.headers.all("transfer-encoding"):
+                raise ListError(f"discovery: answered {reply.status} to a watch")
+            self._lines(reader)
+        finally:
+            with self._change:
+                self._sock = None
+            sock.close()
+
+    def _lines(self, reader: Reader) -> None:
+        held = bytearray()
+        while data := reader.chunk():
+            held += data
+            while (end := held.find(b"\n")) >= 0:
+                line = bytes(held[:end]).strip()
+                del held[: end + 1]
+                if line:
+                    self._line(line)
+            if len(held) > _MOST_LINE:
+                raise ListError(f"discovery: a line of over {_MOST_LINE} bytes")
+        raise Closed(clean=True)
+
+    def _line(self, line: bytes) -> None:
+        try:
+            listed = self._reader.read(orjson.loads(line))
+        except (orjson.JSONDecodeError, ListError) as error:
+            self._log(f"discovery: line skipped: {error}")
+            return
+        if listed:
+            self._tell(listed)
+
+
+def clock_offset() -> float:
+    """The monotonic clock's seconds less Unix time, as this process starts."""
+    return time.monotonic() - time.time()
--- /dev/null
+++ b/gingervane/node/links.py
@@ -0,0 +1,373 @@
+"""Connections to replicas, each carrying many parts at once; the carrier of the node's `Core`.
+
+Owners: the decision thread alone starts calls, withdraws errands and closes sockets. It writes a frame itself,
+without waiting; what a full socket would not take is finished by a thread of that link, for so long as that lasts,
+so that a replica that stops reading holds up nobody else. Each link has one thread that connects, writes what was
+asked for meanwhile, and then reads. `_lock` guards a link's books; it is never held over I/O.
+
+Each errand of a call is reported once by the link or not at all if the driver ended it; the driver drops what comes
+second. Nothing is decided here: times come from the settings, the call and the protocol.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from threading import Lock, Thread
+from typing import NamedTuple
+
+from gingervane.coordinator import types as t
+from gingervane.interface import Outcome
+from gingervane.wire import frames
+from gingervane.wire.frames import Answer, FrameError, FrameReader
+
+_READ = 65536
+_OUTCOMES = {"served": Outcome.OK, "broke": Outcome.ERROR, "skipped": Outcome.REJECTED}
+
+
+class LinkLimits(NamedTuple):
+    """`streams`: parts at once on a connection; `links`: connections in all; `idle`: seconds after which a quiet
+    one is not written to any more; `connect`: seconds for a new one to come up."""
+
+    streams: int
+    links: int
+    idle: float
+    connect: float
+
+
+class Value(NamedTuple):
+    """A part that is in, as its replica gave it."""
+
+    shard: int
+    score: int
+    cell: str
+
+
+class FrameTravel:
+    """How parts travel in frames."""
+
+    def write(self, contents: list[frames.Asked], seconds_left: float, address: tuple[str, int]) -> bytes:
+        return frames.call(contents, max(int(seconds_left * 1000), 1))
+
+    def size(self, result: Value) -> int:
+        return 100
+
+
+class _Out(NamedTuple):
+    errand: t.Errand
+    call: t.Call
+
+
+Report = Callable[[list[t.Ended]], None]
+CheckValue = Callable[[bytes], str | None]
+
+
+class _Link:
+    """One connection. `up`: frames may be written at once; `writing`: a thread of the link is at it."""
+
+    def __init__(self, address: tuple[str, int], limits: LinkLimits, report: Report, check: CheckValue) -> None:
+        self.address, self._limits, self._report, self._check = address, limits, report, check
+        self._lock = Lock()
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.out: dict[str, _Out] = {}
+        self._gone: dict[str, float] = {}  # withdrawn and perhaps still answered -> when that ends
+        self._pending: deque[t.Call | bytes] = deque()
+        self._half: set[str] = set()  # parts of a frame begun and not finished
+        self.broken, self._up, self._writing, self.reading = False, False, False, True
+        self.used = time.monotonic()
+
+    # ---- the decision thread
+
+    def room(self, parts: int, now: float) -> bool:
+        held = len(self.out) + len(self._pending)
+        if self.broken or held + parts > self._limits.streams:
+            return False
+        return bool(self.out) or now - self.used < self._limits.idle
+
+    @property
+    def closable(self) -> bool:
+        return self.broken and not self.reading and not self._writing
+
+    def start(self, call: t.Call, now: float) -> bool:
+        """Take a call; False if the link has broken."""
+        with self._lock:
+            if self.broken:
+                return False
+            for errand in call.errands:
+                self.out[errand.content.id] = _Out(errand, call)
+            self.used = now
+            direct = self._up and not self._writing
+            if not direct:
+                self._pending.append(call)
+        call.token = self
+        if direct:
+            self._write_now(*self._prepare(call))
+        return True
+
+    def withdraw(self, errand: t.Errand) -> None:
+        part = errand.content.id
+        with self._lock:
+            held = self.out.get(part)
+            if self.broken or held is None or held.errand is not errand:
+                return
+            del self.out[part]
+            now = time.monotonic()
+            if len(self._gone) > 4 * self._limits.streams:
+                self._gone = {p: until for p, until in self._gone.items() if until > now}
+            self._gone[part] = held.call.stop_at
+            direct = self._up and not self._writing
+            stuck = self._writing and self._up and not self.out
+            if not direct:
+                self._pending.append(frames.cancel(part))
+        if stuck:
+            # Guards against a frame begun for a replica that reads no more: it is never finished.
+            self.shut()
+        elif direct:
+            self._write_now(frames.cancel(part), set())
+
+    def _prepare(self, call: t.Call) -> tuple[bytes, set[str]]:
+        """The bytes of what of a call may leave now, and the ids of its parts; none if nothing may."""
+        now = time.monotonic()
+        errands, stale = call.go(now)
+        left = {errand.content.id for errand in errands}
+        with self._lock:
+            for errand in call.errands:
+                held = self.out.get(errand.content.id)
+                if held and held.errand is errand and errand.content.id not in left:
+                    del self.out[errand.content.id]
+        if stale:
+            self._report([
+                t.Ended(e.part, e.attempt, Outcome.NEVER_SENT, now, None, "waited too long") for e in stale
+            ])
+        if not errands:
+            return b"", set()
+        return call.exchange.write([e.content for e in errands], call.stop_at - now, call.address), left
+
+    def _write_now(self, data: bytes, parts: set[str]) -> None:
+        """Write without waiting; what does not go in at once is left to a thread of the link."""
+        if not data:
+            return
+        sent = 0
+        try:
+            sent = self.sock.send(data, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            self.fail(f"writing: {error}", half=parts)
+            return
+        if sent < len(data):
+            with self._lock:
+                self._half, self._writing = parts, True
+            Thread(target=self._finish, args=(data[sent:],), name="link-writer", daemon=True).start()
+
+    def shut(self) -> None:
+        """Be done with the connection: its thread wakes and ends what is out on it."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+
+    # ---- threads of the link
+
+    def run(self) -> None:
+        try:
+            try:
+                self.sock.settimeout(self._limits.connect)
+                self.sock.connect(self.address)
+                self.sock.settimeout(None)
+                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            except OSError as error:
+                self.fail(f"connecting: {error}", connected=False)
+                return
+            self._flush()
+            self._read()
+        except Exception as error:  # a bug must not leave an attempt without an ending
+            self.fail(f"internal: {type(error).__name__}: {error}")
+        finally:
+            self.reading = False
+
+    def _finish(self, rest: bytes) -> None:
+        try:
+            self._send_all(rest)
+            self._flush()
+        except OSError as error:
+            self.fail(f"writing: {error}", half=self._half)
+        finally:
+            self._writing = False
+
+    def _flush(self) -> None:
+        """Write what waits; then the decision thread writes itself."""
+        while True:
+            with self._lock:
+                if self.broken:
+                    return
+                if not self._pending:
+                    self._up, self._writing = True, False
+                    return
+                item = self._pending.popleft()
+            data, parts = (item, set[str]()) if isinstance(item, bytes) else self._prepare(item)
+            with self._lock:
+                self._half = parts
+            try:
+                self._send_all(data)
+            except OSError as error:
+                self.fail(f"writing: {error}", half=parts)
+                return
+
+    def _send_all(self, data: bytes) -> None:
+        at = 0
+        while at < len(data):
+            at += self.sock.send(data[at:])
+        with self._lock:
+            self._half = set()
+
+    def _read(self) -> None:
+        reader = FrameReader()
+        while True:
+            try:
+                data = self.sock.recv(_READ)
+            except OSError as error:
+                self.fail(f"reading: {error}")
+                return
+            if not data:
+                self.fail("reading: closed")
+                return
+            at = time.monotonic()
+            reader.feed(data)
+            endings: list[t.Ended] = []
+            try:
+                while (found := reader.next()) is not None:
+                    self._take(*found, at, endings)
+            except FrameError as error:
+                if endings:
+                    self._report(endings)
+                self.fail(f"spoilt: {error}")
+                return
+            if endings:
+                self._report(endings)
+
+    def _take(self, letter: bytes, rest: bytes, at: float, endings: list[t.Ended]) -> None:
+        """One frame off the connection. Raises FrameError if it spoils the connection."""
+        if letter != frames.ANSWER:
+            raise FrameError(f"frame {letter!r} that nobody asked for")
+        answer = frames.read_answer(rest)
+        with self._lock:
+            held = self.out.pop(answer.id, None)
+            known = held is not None or self._gone.pop(answer.id, None) is not None
+        if not known:
+            raise FrameError(f"answer to a part {answer.id} that is not out")
+        self.used = at
+        if held is None:
+            return
+        errand, result = held.errand, self._value(held.errand.content.shard, answer)
+        outcome = _OUTCOMES[answer.end]
+        if outcome is Outcome.OK and result is None:
+            endings.append(t.Ended(errand.part, errand.attempt, Outcome.ERROR, at, None, "spoilt: its value"))
+            raise FrameError("answer: its value cannot be read")
+        why = "" if result else f"the replica answered {answer.end}"
+        endings.append(t.Ended(errand.part, errand.attempt, outcome, at, result, why))
+
+    def _value(self, shard: int, answer: Answer) -> Value | None:
+        cell = self._check(answer.value)
+        if answer.end != "served" or cell is None or answer.score is None:
+            return None
+        return Value(shard, answer.score, cell)
+
+    def fail(self, why: str, half: set[str] | None = None, connected: bool = True) -> None:
+        """The connection is of no further use: end all that is out on it, once."""
+        with self._lock:
+            if self.broken:
+                return
+            self.broken = True
+            out, self.out = self.out, {}
+            waiting = {e.content.id for c in self._pending if isinstance(c, t.Call) for e in c.errands}
+            unwritten = waiting | self._half | (half or set())
+            self._pending.clear()
+        self.shut()
+        now = time.monotonic()
+        endings = []
+        for part, held in out.items():
+            never = not connected or part in unwritten
+            outcome = Outcome.CONNECT_FAILED if never else Outcome.RESET
+            endings.append(t.Ended(held.errand.part, held.errand.attempt, outcome, now, None, why))
+        if endings:
+            self._report(endings)
+
+
+def hex_cell(value: bytes) -> str | None:
+    """A value as clients get it, or None if it is none: 16 hex digits."""
+    if len(value) != 16 or value.strip(b"0123456789abcdef"):
+        return None
+    return value.decode()
+
+
+class Links:
+    """All connections to replicas. All methods: the decision thread."""
+
+    def __init__(self, limits: LinkLimits, report: Report, check: CheckValue = hex_cell) -> None:
+        self._limits, self._report, self._check = limits, report, check
+        self._links: dict[tuple[str, int], list[_Link]] = {}
+        self._count, self._swept = 0, time.monotonic()
+
+    @property
+    def held(self) -> int:
+        return sum(len(link.out) for links in list(self._links.values()) for link in list(links))
+
+    @property
+    def count(self) -> int:
+        """Connections that hold a descriptor."""
+        return self._count
+
+    def start(self, call: t.Call) -> bool:
+        now = time.monotonic()
+        if now - self._swept >= 1.0:
+            self._sweep(now)
+        for link in self._links.get(call.address, ()):
+            if link.room(len(call.errands), now) and link.start(call, now):
+                return True
+        if self._count >= self._limits.links:
+            self._sweep(now)
+            if self._count >= self._limits.links:
+                return False
+        link = _Link(call.address, self._limits, self._report, self._check)
+        self._links.setdefault(call.address, []).append(link)
+        self._count += 1
+        link.start(call, now)
+        Thread(target=link.run, name="link", daemon=True).start()
+        return True
+
+    def call_off(self, call: t.Call) -> None:
+        """Each errand is withdrawn by itself."""
+
+    def withdraw(self, call: t.Call, errand: t.Errand) -> None:
+        if isinstance(call.token, _Link):
+            call.token.withdraw(errand)
+
+    def drop_idle(self, address: tuple[str, int]) -> None:
+        for link in self._links.get(address, ()):
+            if not link.out:
+                link.fail("dropped while idle")
+
+    def close(self) -> None:
+        for links in self._links.values():
+            for link in links:
+                link.shut()
+
+    def _sweep(self, now: float) -> None:
+        """Let go of connections that are quiet for too long or done with."""
+        self._swept = now
+        for address, links in list(self._links.items()):
+            kept = []
+            for link in links:
+                if not link.broken and not link.out and now - link.used >= self._limits.idle:
+                    link.fail("idle")
+                if link.closable:
+                    link.sock.close()
+                    self._count -= 1
+                else:
+                    kept.append(link)
+            if kept:
+                self._links[address] = kept
+            else:
+                del self._links[address]
--- /dev/null
+++ b/gingervane/node/service.py
@@ -0,0 +1,145 @@
+"""The node: the program's one co-ordinator on the platform's protocol, put together and taken apart.
+
+Owners: the main thread makes it, waits for signals and ends it; everything else is owned as its modules say.
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+import time
+from pathlib import Path
+
+from gingervane import interface as api
+from gingervane.coordinator import types as t
+from gingervane.coordinator.core import Bounds, Core, Outside
+from gingervane.fronts.http_server import HttpServer, ServerLimits
+from gingervane.node import config as configuration
+from gingervane.node.clients import ClientFront
+from gingervane.node.config import Config, ConfigError
+from gingervane.node.discovery import ListError, ListReader, Watch, clock_offset
+from gingervane.node.links import LinkLimits, Links
+from gingervane.node.peers import Peers
+from gingervane.policy import Coordinator
+from gingervane.wire.http1 import Limits
+
+STILL_ARRIVING = 0.5  # seconds after SIGTERM: the protocol has new connections arrive for up to 0.4
+OWN_DESCRIPTORS = 24  # the listener, discovery, datagrams, epoll, standard streams, and some to spare
+LAST_WRITES = 0.1  # seconds for threads to leave once every reply is written
+_SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+
+
+def log(text: str) -> None:
+    sys.stderr.write(text + "\n")
+    sys.stderr.flush()
+
+
+class Lines:
+    """What the core tells an operator: few lines, nothing for each query."""
+
+    def settled(self, query: int, plan: t.QueryPlan, final: t.Final, seconds: float) -> None:
+        pass
+
+    def attempt(self, outcome: api.Outcome, replica: int, seconds: float) -> None:
+        pass
+
+    def remark(self, text: str) -> None:
+        log(text)
+
+    def broke(self, error: BaseException) -> None:
+        log(f"the decision thread broke: {type(error).__name__}: {error}")
+
+
+class Node:
+    def __init__(self, path: Path, config: Config) -> None:
+        self._path, self._config = path, config
+        settings = config.settings
+        links = config.sockets // 3
+        limits = LinkLimits(config.streams, links, 0.8 * config.conn_idle, config.connect_timeout)
+        # Room for every part of as many queries as there can be connections: descriptors bound it, not this.
+        most = Bounds(config.sockets * (1 + config.shards), 64 << 20)
+        self.core = Core(
+            Coordinator(settings, config.seed), settings, most, Lines(), lambda report: Links(limits, report),
+            Outside(self._subscribe, self._tell_peers),
+        )
+        self.front = ClientFront(self.core, config.class_names, config.shards)
+        reader = ListReader(config.zones, clock_offset(), log)
+        self.watch = Watch(config.discovery, reader, self.core.listed, log)
+        self._peers = (
+            Peers(config.peer_listen, config.peers, config.peers_all, config.me, self.core.heard)
+            if config.peer_listen and settings.may_message_peers else None
+        )
+        try:
+            known = reader.read(config.known, cached=True) if config.known else None
+        except ListError as error:
+            log(f"known: {error}")
+            known = None
+        if known:
+            self.core.listed(known)
+        connections = config.sockets - links - OWN_DESCRIPTORS
+        self.server = HttpServer(*config.listen, self.front.handle, ServerLimits(
+            connections=connections, idle=2.0, head=1.5, body=1.0, write=5.0, message=Limits(16384, 65536),
+        ))
+
+    def _subscribe(self) -> None:
+        self.watch.follow()
+
+    def _tell_peers(self, payload: bytes) -> None:
+        if self._peers:
+            self._peers.tell(payload)
+
+    def start(self) -> None:
+        self.server.start()  # before the others: it sets the stack of new threads
+        self.watch.start()
+        if self._peers:
+            self._peers.start()
+        if not self._config.settings.must_ask_membership:
+            self.watch.follow()
+        self.core.start()
+        self.front.ready = True
+
+    def reload(self) -> None:
+        """SIGHUP: follow discovery to where the file now says it is."""
+        try:
+            new = configuration.read(self._path)
+        except ConfigError as error:
+            log(f"configuration kept: {error}")
+            return
+        log(f"configuration read again: discovery at {new.discovery[0]}:{new.discovery[1]}")
+        self.watch.move(new.discovery)
+
+    def stop(self) -> None:
+        """SIGTERM: serve while requests still come, answer what is taken, end."""
+        self.front.ready = False
+        self.server.wind_down()
+        time.sleep(STILL_ARRIVING)
+        longest = max(kind.deadline for kind in self._config.settings.classes)
+        until = time.monotonic() + longest
+        self.server.stop_accepting()
+        while self.front.open and time.monotonic() < until:
+            time.sleep(0.01)
+        self.core.stop(0.0)
+        self.server.stop(LAST_WRITES)
+        self.watch.stop()
+
+
+def run(path: Path) -> int:
+    # Blocked before any thread starts, so that all inherit it and none of these is lost or ends the program.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
+    try:
+        config = configuration.read(path)
+        node = Node(path, config)
+    except (ConfigError, OSError) as error:
+        log(f"gingervane: {error}")
+        return 2
+    node.start()
+    log(f"{config.name} listens on {config.listen[0]}:{config.listen[1]}, {threading.active_count()} threads")
+    while True:
+        number = signal.sigwait(_SIGNALS)
+        if number == signal.SIGHUP:
+            node.reload()
+            continue
+        log(f"ending on {signal.Signals(number).name}")
+        node.stop()
+        return 0
--- a/gingervane/wire/http1.py
+++ b/gingervane/wire/http1.py
@@ -208,26 +208,29 @@
         return out
 
     def _chunked(self) -> bytes:
-        out = bytearray()
-        index = 0
-        while True:
-            where = f"chunk {index + 1}"
-            size, _, _ = self._line(1024, where + " size", 400).partition(b";")
-            if not _HEX.match(size.rstrip(b" \t")):
-                raise HttpError(400, f"{where}: size is not hexadecimal")
-            length = int(size, 16)
-            if length == 0:
-                break
-            if len(out) + length > self.limits.body:
-                raise HttpError(413, f"{where}: body over the limit of {self.limits.body} bytes")
-            out += self._exactly(length, where)
+        out, index = bytearray(), 1
+        while data := self.chunk(f"chunk {index}", len(out)):
+            out += data
+            index += 1
+        return bytes(out)
+
+    def chunk(self, where: str = "chunk", before: int = 0) -> bytes:
+        """The next chunk of a chunked body, of which `before` bytes count so far; empty at its end."""
+        size, _, _ = self._line(1024, where + " size", 400).partition(b";")
+        if not _HEX.match(size.rstrip(b" \t")):
+            raise HttpError(400, f"{where}: size is not hexadecimal")
+        length = int(size, 16)
+        if before + length > self.limits.body:
+            raise HttpError(413, f"{where}: body over the limit of {self.limits.body} bytes")
+        if length:
+            data = self._exactly(length, where)
             if self._exactly(2, where) != b"\r\n":
                 raise HttpError(400, f"{where}: not followed by CRLF")
-            index += 1
+            return data
         room = self.limits.head
         while line := self._line(room, "trailer"):
             room -= len(line) + 2
-        return bytes(out)
+        return b""
 
 
 def _version(word: bytes, where: str) -> tuple[int, int]:
