Only the decision thread begins a frame, so none begins once its query is settled

Frames that had waited for a connection were claimed and written by the link's thread (_flush); between its claim and its send the decision thread could settle the query. Now link threads only connect, read and finish a frame already begun, and the decision thread writes at its next turn. A part given up inside a frame shuts its connection, so it never arrives whole.

--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -159,6 +159,9 @@
     def start(self, call: t.Call) -> bool:
         """Take a call; each of its errands is reported once. False: no room, and nothing of it was begun."""
 
+    def tend(self) -> None:
+        """At each turn: go on with what could not be done at once."""
+
     def call_off(self, call: t.Call) -> None:
         """No errand of the call is waited for any more."""
 
@@ -269,6 +272,7 @@
         except Empty:
             pass
         self._carry_out(self._driver.step(time.monotonic(), inputs))
+        self._senders.tend()
         # Done once told to stop, with nothing to read, nothing held and no own news.
         idle = self._inbox.empty() and not self._driver.open_queries and self._driver.next_due() > 0
         return not (self._stop.is_set() and idle)
--- a/gingervane/coordinator/sender.py
+++ b/gingervane/coordinator/sender.py
@@ -72,6 +72,9 @@
         if isinstance(call.token, Lease):
             call.token.call_off()
 
+    def tend(self) -> None:
+        """Nothing waits here but for a thread."""
+
     def withdraw(self, call: t.Call, errand: t.Errand) -> None:
         """A request is given up as a whole, by `call_off`: HTTP/1.1 cannot take back one part of it."""
 
--- a/gingervane/node/links.py
+++ b/gingervane/node/links.py
@@ -1,9 +1,10 @@
 """Connections to replicas, each carrying many parts at once; the carrier of the node's `Core`.
 
-Owners: the decision thread alone starts calls, withdraws errands and closes sockets. It writes a frame itself,
-without waiting; what a full socket would not take is finished by a thread of that link, for so long as that lasts,
-so that a replica that stops reading holds up nobody else. Each link has one thread that connects, writes what was
-asked for meanwhile, and then reads. `_lock` guards a link's books; it is never held over I/O.
+Owners: the decision thread alone starts calls, withdraws errands, writes frames and closes sockets. It writes without
+waiting; the rest of a frame that a full socket would not take is finished by a thread made for that, so that a
+replica that stops reading holds up nobody else. Each link has one thread that connects and then reads. What these two
+have done they say through `Links._ready`, on which the decision thread acts at its next turn: nobody but it begins a
+frame, so none begins once its query is settled. `_lock` guards a link's books; it is never held over I/O.
 
 Each errand of a call is reported once by the link or not at all if the driver ended it; the driver drops what comes
 second. Nothing is decided here: times come from the settings, the call and the protocol.
@@ -66,23 +67,24 @@
 
 
 class _Link:
-    """One connection. `up`: frames may be written at once; `writing`: a thread of the link is at it."""
+    """One connection. `_up`: it may be written to; `_writing`: a thread is finishing a frame."""
 
-    def __init__(self, address: tuple[str, int], limits: LinkLimits, report: Report, check: CheckValue) -> None:
+    def __init__(self, address: tuple[str, int], limits: LinkLimits, report: Report, check: CheckValue,
+                 ready: Callable[[_Link], None]) -> None:
         self.address, self._limits, self._report, self._check = address, limits, report, check
-        self._lock = Lock()
+        self._ready, self._lock = ready, Lock()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.out: dict[str, _Out] = {}
         self._gone: dict[str, float] = {}  # withdrawn and perhaps still answered -> when that ends
         self._pending: deque[t.Call | bytes] = deque()
-        self._half: set[str] = set()  # parts of a frame begun and not finished
+        self._half: set[str] = set()  # parts of the frame that is being finished
         self.broken, self._up, self._writing, self.reading = False, False, False, True
         self.used = time.monotonic()
 
     # ---- the decision thread
 
     def room(self, parts: int, now: float) -> bool:
-        held = len(self.out) + len(self._pending)
+        held = max(len(self.out), len(self._pending))
         if self.broken or held + parts > self._limits.streams:
             return False
         return bool(self.out) or now - self.used < self._limits.idle
@@ -99,12 +101,9 @@
             for errand in call.errands:
                 self.out[errand.content.id] = _Out(errand, call)
             self.used = now
-            direct = self._up and not self._writing
-            if not direct:
-                self._pending.append(call)
+            self._pending.append(call)
         call.token = self
-        if direct:
-            self._write_now(*self._prepare(call))
+        self.flush()
         return True
 
     def withdraw(self, errand: t.Errand) -> None:
@@ -118,26 +117,49 @@
             if len(self._gone) > 4 * self._limits.streams:
                 self._gone = {p: until for p, until in self._gone.items() if until > now}
             self._gone[part] = held.call.stop_at
-            direct = self._up and not self._writing
-            stuck = self._writing and self._up and not self.out
-            if not direct:
+            begun = part in self._half
+            if not begun:
                 self._pending.append(frames.cancel(part))
-        if stuck:
-            # Guards against a frame begun for a replica that reads no more: it is never finished.
-            self.shut()
-        elif direct:
-            self._write_now(frames.cancel(part), set())
+        if begun:
+            # Guards against a part that arrives after its query's answer: its frame must never be whole.
+            self.fail("given up inside a frame")
+        else:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what waits, as far as the connection takes it."""
+        while True:
+            with self._lock:
+                if self.broken or not self._up or self._writing or not self._pending:
+                    return
+                item = self._pending.popleft()
+            data, parts = (item, set[str]()) if isinstance(item, bytes) else self._prepare(item)
+            if not data:
+                continue
+            sent = 0
+            try:
+                sent = self.sock.send(data, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                pass
+            except OSError as error:
+                self.fail(f"writing: {error}", parts)
+                return
+            if sent < len(data):
+                with self._lock:
+                    self._half, self._writing = parts, True
+                Thread(target=self._finish, args=(data[sent:],), name="link-writer", daemon=True).start()
 
     def _prepare(self, call: t.Call) -> tuple[bytes, set[str]]:
         """The bytes of what of a call may leave now, and the ids of its parts; none if nothing may."""
         now = time.monotonic()
         errands, stale = call.go(now)
         left = {errand.content.id for errand in errands}
-        with self._lock:
-            for errand in call.errands:
-                held = self.out.get(errand.content.id)
-                if held and held.errand is errand and errand.content.id not in left:
-                    del self.out[errand.content.id]
+        if len(errands) < len(call.errands):
+            with self._lock:
+                for errand in call.errands:
+                    held = self.out.get(errand.content.id)
+                    if held and held.errand is errand and errand.content.id not in left:
+                        del self.out[errand.content.id]
         if stale:
             self._report([
                 t.Ended(e.part, e.attempt, Outcome.NEVER_SENT, now, None, "waited too long") for e in stale
@@ -146,23 +168,6 @@
             return b"", set()
         return call.exchange.write([e.content for e in errands], call.stop_at - now, call.address), left
 
-    def _write_now(self, data: bytes, parts: set[str]) -> None:
-        """Write without waiting; what does not go in at once is left to a thread of the link."""
-        if not data:
-            return
-        sent = 0
-        try:
-            sent = self.sock.send(data, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            pass
-        except OSError as error:
-            self.fail(f"writing: {error}", half=parts)
-            return
-        if sent < len(data):
-            with self._lock:
-                self._half, self._writing = parts, True
-            Thread(target=self._finish, args=(data[sent:],), name="link-writer", daemon=True).start()
-
     def shut(self) -> None:
         """Be done with the connection: its thread wakes and ends what is out on it."""
         with contextlib.suppress(OSError):
@@ -180,7 +185,9 @@
             except OSError as error:
                 self.fail(f"connecting: {error}", connected=False)
                 return
-            self._flush()
+            with self._lock:
+                self._up = True
+            self._ready(self)
             self._read()
         except Exception as error:  # a bug must not leave an attempt without an ending
             self.fail(f"internal: {type(error).__name__}: {error}")
@@ -188,39 +195,14 @@
             self.reading = False
 
     def _finish(self, rest: bytes) -> None:
+        """Write the rest of a frame, however long its reader takes; a shut connection ends the wait."""
         try:
-            self._send_all(rest)
-            self._flush()
+            self.sock.sendall(rest)
         except OSError as error:
-            self.fail(f"writing: {error}", half=self._half)
-        finally:
-            self._writing = False
-
-    def _flush(self) -> None:
-        """Write what waits; then the decision thread writes itself."""
-        while True:
-            with self._lock:
-                if self.broken:
-                    return
-                if not self._pending:
-                    self._up, self._writing = True, False
-                    return
-                item = self._pending.popleft()
-            data, parts = (item, set[str]()) if isinstance(item, bytes) else self._prepare(item)
-            with self._lock:
-                self._half = parts
-            try:
-                self._send_all(data)
-            except OSError as error:
-                self.fail(f"writing: {error}", half=parts)
-                return
-
-    def _send_all(self, data: bytes) -> None:
-        at = 0
-        while at < len(data):
-            at += self.sock.send(data[at:])
+            self.fail(f"writing: {error}")
         with self._lock:
-            self._half = set()
+            self._half, self._writing = set(), False
+        self._ready(self)
 
     def _read(self) -> None:
         reader = FrameReader()
@@ -274,22 +256,24 @@
             return None
         return Value(shard, answer.score, cell)
 
-    def fail(self, why: str, half: set[str] | None = None, connected: bool = True) -> None:
-        """The connection is of no further use: end all that is out on it, once."""
+    def fail(self, why: str, unwritten: set[str] | None = None, connected: bool = True) -> None:
+        """The connection is of no further use: end all that is out on it, once.
+
+        `unwritten`: parts of a frame that the connection did not take.
+        """
         with self._lock:
             if self.broken:
                 return
             self.broken = True
             out, self.out = self.out, {}
             waiting = {e.content.id for c in self._pending if isinstance(c, t.Call) for e in c.errands}
-            unwritten = waiting | self._half | (half or set())
+            never = waiting | self._half | (unwritten or set())
             self._pending.clear()
         self.shut()
         now = time.monotonic()
         endings = []
         for part, held in out.items():
-            never = not connected or part in unwritten
-            outcome = Outcome.CONNECT_FAILED if never else Outcome.RESET
+            outcome = Outcome.CONNECT_FAILED if not connected or part in never else Outcome.RESET
             endings.append(t.Ended(held.errand.part, held.errand.attempt, outcome, now, None, why))
         if endings:
             self._report(endings)
@@ -303,12 +287,13 @@
 
 
 class Links:
-    """All connections to replicas. All methods: the decision thread."""
+    """All connections to replicas. All methods but `_wake`: the decision thread."""
 
     def __init__(self, limits: LinkLimits, report: Report, check: CheckValue = hex_cell) -> None:
         self._limits, self._report, self._check = limits, report, check
         self._links: dict[tuple[str, int], list[_Link]] = {}
         self._count, self._swept = 0, time.monotonic()
+        self._ready: deque[_Link] = deque()
 
     @property
     def held(self) -> int:
@@ -330,13 +315,22 @@
             self._sweep(now)
             if self._count >= self._limits.links:
                 return False
-        link = _Link(call.address, self._limits, self._report, self._check)
+        link = _Link(call.address, self._limits, self._report, self._check, self._wake)
         self._links.setdefault(call.address, []).append(link)
         self._count += 1
         link.start(call, now)
         Thread(target=link.run, name="link", daemon=True).start()
         return True
 
+    def _wake(self, link: _Link) -> None:
+        """A thread of a link: it can be written to again. An empty report gives the decision thread a turn."""
+        self._ready.append(link)
+        self._report([])
+
+    def tend(self) -> None:
+        while self._ready:
+            self._ready.popleft().flush()
+
     def call_off(self, call: t.Call) -> None:
         """Each errand is withdrawn by itself."""
 
