Tests of the node among stand-ins of the platform; silent connections make room for others

With as many silent connections as there is room for, a client was turned away with 503 (HttpServer._accept): now the oldest connection that never spoke ends and makes room. And what a replaced replica left behind grew for good: its address in the driver, its books in the module; both go now once it is gone and nothing is out on it.

The module ranked a class's last 200 latencies anew at each look, asked each holder's fitness twice a part, and looked for a substitute where it only wanted to know whether there is one; it keeps them in order now.

--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -190,6 +190,10 @@
             closed |= self._addresses.keys() - {r.id for r in event.replicas}
         if not closed:
             return []
+        gone = {r.id for r in event.replicas if r.state is api.ReplicaState.GONE}
+        for replica in gone | (closed - {r.id for r in event.replicas}):
+            if address := self._addresses.pop(replica, None):
+                effects.append(t.DropIdle(address))
         out = [(n, a) for n, part in self._parts.items() for a in part.out.values() if a.replica in closed]
         events: list[api.Event] = []
         for number, attempt in out:
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -23,6 +23,9 @@
 from gingervane.wire.tap import TAP
 
 
+_MOST_ENDING = 16  # connections over the bound, while those that make room for them are on their way out
+
+
 class ServerLimits(NamedTuple):
     """Bounds on clients; seconds. `idle`: between messages; `head`, `body`: to read one; `write`: a reply."""
 
@@ -125,6 +128,15 @@
             self._watch.remove(self.sock)
 
 
+class _State:
+    """Of one connection: a request is being worked on; no byte has come; it was told to end for want of room."""
+
+    __slots__ = ("busy", "silent", "ending")
+
+    def __init__(self) -> None:
+        self.busy, self.silent, self.ending = False, True, False
+
+
 class HttpServer:
     """Serves `handler` on a listening socket until `stop`."""
 
@@ -136,7 +148,8 @@
         self._winding_down = False  # every reply now ends its connection
         self._still = Standstill(time.monotonic())
         self._lock = threading.Lock()
-        self._busy: dict[socket.socket, bool] = {}  # connection -> a request of it is being worked on
+        self._open: dict[socket.socket, _State] = {}  # oldest first
+        self._ending = 0  # silent connections that were told to end and have not yet
         self._threads: set[threading.Thread] = set()
         self.refused = 0  # connections past the bound
 
@@ -157,7 +170,7 @@
 
     @property
     def connections(self) -> int:
-        return len(self._busy)
+        return len(self._open)
 
     def wind_down(self) -> None:
         """Go on accepting and serving, but end each connection after its reply, and idle ones now."""
@@ -175,7 +188,7 @@
     def _end_idle(self) -> None:
         """Read no more where no request is open: one that has come already is still served, then comes the end."""
         with self._lock:
-            idle = [sock for sock, busy in self._busy.items() if not busy]
+            idle = [sock for sock, state in self._open.items() if not state.busy]
         for sock in idle:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RD)
@@ -199,9 +212,9 @@
                 time.sleep(0.05)  # out of descriptors: those in use must end first
                 continue
             with self._lock:
-                full = len(self._busy) >= self._limits.connections
+                full = len(self._open) - self._ending >= self._limits.connections and not self._make_room()
                 if not full:
-                    self._busy[sock] = False
+                    self._open[sock] = _State()
             if full:
                 self._turn_away(sock)
                 continue
@@ -214,6 +227,18 @@
                 self._forget(sock, thread)
                 self._turn_away(sock)
 
+    def _make_room(self) -> bool:
+        """End the oldest connection that has said nothing. Guards against hundreds of those keeping all out."""
+        silent = ((sock, state) for sock, state in self._open.items() if state.silent and not state.ending)
+        sock, state = next(silent, (None, None))
+        if sock is None or state is None or self._ending >= _MOST_ENDING:
+            return False
+        state.ending = True
+        self._ending += 1
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RD)
+        return True
+
     def _turn_away(self, sock: socket.socket) -> None:
         self.refused += 1
         fields = [("Retry-After", "1"), ("Connection", "close"), ("Content-Type", "text/plain")]
@@ -224,7 +249,8 @@
 
     def _forget(self, sock: socket.socket, thread: threading.Thread) -> None:
         with self._lock:
-            self._busy.pop(sock, None)
+            state = self._open.pop(sock, None)
+            self._ending -= state is not None and state.ending
             self._threads.discard(thread)
 
     def _serve(self, sock: socket.socket) -> None:
@@ -238,7 +264,7 @@
             sock.close()
 
     def _talk(self, sock: socket.socket) -> None:
-        until, replied = 0.0, time.monotonic()
+        until, replied, state = 0.0, time.monotonic(), self._open[sock]
 
         def receive(most: int) -> bytes:
             left = until - time.monotonic()
@@ -256,6 +282,7 @@
                         return
                 except TimeoutError:
                     return
+            state.silent = False
             read = time.monotonic()
             arrived = self._still.came(read, replied)
             until = read + self._limits.head
@@ -277,7 +304,7 @@
                 self._write(sock, plain(408, f"{what}: not complete in time", close=True))
                 return
             TAP.put("request", *_ports(sock))
-            self._busy[sock] = True
+            state.busy = True
             client = _Client(sock, self._gone)
             try:
                 reply = self._handler(request, body, arrived, client)
@@ -290,7 +317,7 @@
                 self._write(sock, reply._replace(close=close))
             finally:
                 reply.done()
-                self._busy[sock] = False
+                state.busy = False
                 replied = time.monotonic()
             if close:
                 return
--- a/gingervane/node/config.py
+++ b/gingervane/node/config.py
@@ -54,7 +54,7 @@
         settings = read_settings(pairs)
         return Config(
             name=str(data.get("name", "")),
-            listen=address(data, "listen"),
+            listen=parse_address(data.get("listen"), "listen", least=0),  # 0: the kernel chooses
             discovery=address(data, "discovery"),
             seed=_number(str(data.get("seed", "0")), "seed", 16),
             sockets=_number(str(data.get("limits", {}).get("sockets", 1024)), "limits.sockets"),
@@ -81,10 +81,10 @@
     return parse_address(data.get(key), key)
 
 
-def parse_address(text: object, key: str) -> Address:
+def parse_address(text: object, key: str, least: int = 1) -> Address:
     """`HOST:PORT`. Raises ConfigError."""
     host, colon, port = str(text).rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not colon or not host or not port.isdecimal() or not least <= int(port) < 65536:
         raise ConfigError(f"{key}: {text!r} is not HOST:PORT")
     return host, int(port)
 
--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import random
+from bisect import bisect_left, insort
 from collections import Counter, defaultdict, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from math import inf, log, sqrt
 
@@ -53,6 +54,24 @@
         return self.open
 
 
+class _Ranked(deque[float]):
+    """The last SAMPLES values, and the same by size: ranking them at each look would cost the most CPU."""
+
+    def __init__(self) -> None:
+        super().__init__(maxlen=SAMPLES)
+        self.ranked = list[float]()
+
+    def append(self, value: float) -> None:
+        if len(self) == SAMPLES:
+            del self.ranked[bisect_left(self.ranked, self[0])]
+        super().append(value)
+        insort(self.ranked, value)
+
+    def extend(self, values: Iterable[float]) -> None:
+        for value in values:
+            self.append(value)
+
+
 @dataclass(eq=False)
 class _Server:
     listed: api.Replica
@@ -134,7 +153,7 @@
         self.attempts, self.fresh = dict[tuple[int, int], _Attempt](), dict[int, _Query]()
         self.timers, self.labels = dict[int, tuple[float, Callable[[], None]]](), 0  # due, what
         self.call_now = Counter[_Server]()  # parts sent in this batch
-        self.latency = [deque[float](maxlen=SAMPLES) for c in settings.classes]
+        self.latency = [_Ranked() for c in settings.classes]
         self.usual = [c.aim * START_DELAY for c in settings.classes]  # median time of a part on good days
         self.hedges, self.failures, self.sent = _Count(WINDOW), _Count(WINDOW), _Count(WINDOW)
         self.finished = _Count(RATE_SPAN)
@@ -197,6 +216,10 @@
             if server.listed.state is not api.ReplicaState.GONE:
                 for j in range(min(self.settings.width, self.settings.cells)):
                     cells[(server.listed.cell - j) % self.settings.cells].append(server)
+        # Guards memory where replicas are replaced all day: one that is gone and holds nothing is forgotten.
+        gone = [i for i, s in self.servers.items() if s.listed.state is api.ReplicaState.GONE and not s.calls]
+        for number in gone:
+            del self.servers[number]
         self.ready, self.held_by = sum(s.ready for s in self.servers.values()), cells
 
     def _told(self, event: api.PeerMessage) -> None:
@@ -274,8 +297,9 @@
         holders = list[list[_Server]]()
         for part in parts:
             held = self.held_by[part.arrived.shard % self.settings.cells]
-            least = min((self._pace(s) for s in held if self._fit(s, part.query)), default=0.0)
-            fit = [self._fit(s, part.query) and self._pace(s) <= SLOW * least for s in held]
+            paces = [self._pace(s) if self._fit(s, part.query) else inf for s in held]
+            least = min(paces, default=0.0)
+            fit = [pace < inf and pace <= SLOW * least for pace in paces]
             spare = None if all(fit) else self._substitute(part)
             holders.append([s if ok or not spare else spare for s, ok in zip(held, fit, strict=True)])
         rows = [[h[j % len(h)] for h in holders] for j in range(max(map(len, holders), default=1))]
@@ -288,7 +312,7 @@
 
     def _percentile(self, query: _Query, share: float) -> float:
         """Of the class's last latencies, of parts, not of attempts: cancelled twins would hide the tail."""
-        ranked = sorted(self.latency[query.arrived.query_class])
+        ranked = self.latency[query.arrived.query_class].ranked
         return ranked[int(share * (len(ranked) - 1))] if len(ranked) >= FEW else query.kind.aim * START_DELAY
 
     def _send(self, part: _Part, server: _Server, is_copy: bool = False) -> bool:
@@ -422,7 +446,8 @@
 
     def _start(self, query: _Query) -> None:
         for part in query.parts:
-            part.lost = self._substitute(part) is None
+            held = self.held_by[part.arrived.shard % self.settings.cells]
+            part.lost = not any(self._permitted(s) for s in held)
         parts = [p for p in query.parts if not p.lost]
         row = self._position(parts)
         admitted = parts and not query.lacks() and (query.step == 2 or not self._crowded(query, parts, row))
--- a/gingervane/startup.py
+++ b/gingervane/startup.py
@@ -1,6 +1,6 @@
 """What a co-ordinator is told once, at its start, as the platform names it: read into `interface.Settings`.
 
-The simulator sends it as lines `Key=value`, the platform as nested JSON with the same names and units (seconds);
+The simulator sends lines `Key=value`, the platform nested JSON with the same names and units (seconds);
 `flatten` makes the second into the first, so that one reader serves both. Standard library only.
 """
 
@@ -19,7 +19,7 @@
 
 
 def flatten(nested: Mapping[str, Any], prefix: str = "") -> dict[str, str]:
-    """Nested settings as dotted keys; a list of objects becomes `Key.count` and `Key.0.…`, others `a,b,c`."""
+    """Nested settings as dotted keys; a list of objects becomes `Key.count` and `Key.0.x`, others `a,b`."""
     pairs: dict[str, str] = {}
     for name, value in nested.items():
         key = prefix + name
--- /dev/null
+++ b/tests/platform_standins.py
@@ -0,0 +1,274 @@
+"""Replicas and discovery of the platform as tests need them, from its protocol; and a node among them."""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import json
+import socket
+import struct
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from gingervane.node import config as configuration
+from gingervane.node.service import Node
+
+PATIENCE = 20.0  # seconds after which a test gives up waiting
+
+
+def cell_of(part: str) -> str:
+    """The value that a part has, wherever it is asked."""
+    return hashlib.blake2b(part.encode(), digest_size=8).hexdigest()
+
+
+class Part(NamedTuple):
+    id: str
+    shard: int
+    words: dict[str, str]
+    text: bytes
+
+
+class Waiter:
+    """A list that can be waited on."""
+
+    def __init__(self) -> None:
+        self.items: list[Any] = []
+        self._change = threading.Condition()
+
+    def put(self, item: Any) -> None:
+        with self._change:
+            self.items.append(item)
+            self._change.notify_all()
+
+    def wait(self, count: int = 1, which: Callable[[Any], bool] = lambda item: True) -> list[Any]:
+        """The items so far, once `count` of them are such."""
+        with self._change:
+            good = self._change.wait_for(lambda: sum(map(which, self.items)) >= count, PATIENCE)
+            assert good, f"waited for {count}, have {self.items!r:.500}"
+            return [item for item in self.items if which(item)]
+
+
+class Wire:
+    """One connection at a replica."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.lock = sock, threading.Lock()
+
+    def raw(self, data: bytes) -> None:
+        with self.lock, contextlib.suppress(OSError):
+            self.sock.sendall(data)
+
+    def answer(
+        self, part: str, end: str = "served", score: int = 7, report: str = "-", value: bytes = b"",
+    ) -> None:
+        self.raw(answer(part, end, score, report, value))
+
+    def reset(self) -> None:
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.sock.shutdown(socket.SHUT_RD)
+        self.sock.close()
+
+
+def answer(part: str, end: str = "served", score: int = 7, report: str = "-", value: bytes = b"") -> bytes:
+    rest = f"{part} {end} {score if end == 'served' else '-'} {report}\n".encode()
+    rest += value or (cell_of(part).encode() if end == "served" else b"")
+    return struct.pack("<I", 1 + len(rest)) + b"a" + rest
+
+
+class Replica:
+    """Listens; hands each part to `behave`, which answers it by default."""
+
+    def __init__(self, cell: int, behave: Callable[[Wire, Part], None] | None = None) -> None:
+        self.cell, self.behave = cell, behave or (lambda wire, part: wire.answer(part.id))
+        self.parts, self.cancels, self.ended = Waiter(), Waiter(), Waiter()
+        self.wires: list[Wire] = []
+        self.reads = True
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                wire = Wire(sock)
+                self.wires.append(wire)
+                threading.Thread(target=self._serve, args=(wire,), daemon=True).start()
+
+    def _serve(self, wire: Wire) -> None:
+        data = bytearray()
+        with contextlib.suppress(OSError):
+            while self.reads and (got := wire.sock.recv(65536)):
+                data += got
+                while len(data) >= 4 and len(data) >= 4 + (length := struct.unpack_from("<I", data)[0]):
+                    letter, rest = data[4:5], bytes(data[5 : 4 + length])
+                    del data[: 4 + length]
+                    if letter == b"c":
+                        self.cancels.put(rest.decode())
+                    else:
+                        self._call(wire, rest)
+        self.ended.put(wire)
+
+    def _call(self, wire: Wire, rest: bytes) -> None:
+        while rest:
+            line, _, rest = rest.partition(b"\n")
+            part, shard, words, size = line.decode().split(" ")
+            text, rest = rest[: int(size)], rest[int(size) :]
+            found = Part(part, int(shard), dict(w.split("=") for w in words.split(",")), text)
+            self.parts.put(found)
+            self.behave(wire, found)
+
+    def close(self) -> None:
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)  # a thread that waits in accept would keep it open
+        self._listener.close()
+        for wire in self.wires:
+            wire.sock.close()
+
+
+class Discovery:
+    """The list, and watches on it."""
+
+    def __init__(self, hosts: list[dict[str, Any]]) -> None:
+        self.hosts, self.version, self.watches = hosts, 1, Waiter()
+        self._open: list[socket.socket] = []
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                head = sock.recv(4096).decode()
+                sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                self._open.append(sock)
+                self._push(sock, {"seq": self.version, "whole": True, "hosts": self.hosts})
+                self.watches.put(head.split(" ")[1])
+
+    @staticmethod
+    def _push(sock: socket.socket, data: Any) -> None:
+        line = data if isinstance(data, bytes) else json.dumps(data).encode() + b"\n"
+        with contextlib.suppress(OSError):
+            sock.sendall(b"%x\r\n%s\r\n" % (len(line), line))
+
+    def change(self, *hosts: dict[str, Any]) -> None:
+        self.version += 1
+        for sock in self._open:
+            self._push(sock, {"seq": self.version, "whole": False, "hosts": list(hosts)})
+
+    def push(self, line: bytes) -> None:
+        for sock in self._open:
+            self._push(sock, line)
+
+    def close(self) -> None:
+        self._listener.close()
+        for sock in self._open:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+
+def host(replica: Replica, name: str = "", health: str = "SERVING") -> dict[str, Any]:
+    return {
+        "host": name or f"s-{replica.port}", "dial": f"127.0.0.1:{replica.port}", "site": "a", "class": "m",
+        "block": replica.cell, "health": health, "share": 1.0, "born_ms": 0,
+    }
+
+
+SETTINGS: dict[str, Any] = {
+    "Balancers": 1, "Locality": 0, "Ordinal": 0, "GranularityS": 0.005, "MembershipMode": "ask",
+    "Zones": ["a", "b"],
+    "Classes": [
+        {"Name": "look", "AimS": 2.0, "DeadlineS": 6.0, "Semantics": "safe", "LateWorth": 0.0},
+        {"Name": "rank", "AimS": 2.0, "DeadlineS": 6.0, "Semantics": "safe", "LateWorth": 0.0},
+        {"Name": "book", "AimS": 2.0, "DeadlineS": 6.0, "Semantics": "unsafe", "LateWorth": 0.0},
+    ],
+    "Extra": {
+        "ClassFetch": [0, 2, 0], "MinShare": [1.0] * 3, "WholeAt": [1.0] * 3, "ShortWorth": [1.0] * 3,
+        "PerCall": 1, "Sets": 1, "Shards": 4, "Width": 1,
+    },
+    "Limits": {
+        "Cancelling": True, "ConnIdleS": 15.0, "ConnectTimeoutS": 0.25, "MaxRetryAfterS": 0.5, "Peers": False,
+        "RetryAfter": True, "SecondCopies": True, "SendCap": 3, "StreamsPerConn": 32,
+    },
+    "Rules": {"RampTimeS": 1.0, "StartCapacity": 0.2, "FallS": 1.5},
+}
+
+
+class Platform:
+    """Two replicas that hold everything, discovery, and one node, told of both from the start."""
+
+    def __init__(
+        self, folder: Path, *replicas: Replica, sockets: int = 256, settings: Any = SETTINGS,
+    ) -> None:
+        self.replicas = replicas or (Replica(0), Replica(0))
+        self.discovery = Discovery([host(r) for r in self.replicas])
+        self.path, self.settings, self.sockets = folder / "config.json", settings, sockets
+        self.configure(self.discovery)
+        self.node = Node(self.path, configuration.read(self.path))
+        self.node.start()
+        self.discovery.watches.wait()
+
+    def configure(self, discovery: Discovery) -> None:
+        known = {"seq": 0, "whole": True, "hosts": [host(r) for r in self.replicas]}
+        self.path.write_text(json.dumps({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "5",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets}, "known": known,
+            "settings": self.settings,
+        }))
+
+    def client(self) -> socket.socket:
+        return socket.create_connection(self.node.server.address, PATIENCE)
+
+    def ask(
+        self, name: str, tablets: dict[int, float], path: str = "/look", sock: socket.socket | None = None,
+        wait: int = 6000,
+    ) -> tuple[int, dict[str, str], Any]:
+        """One query and its answer, on a connection of its own unless one is given."""
+        mine = sock or self.client()
+        mine.sendall(query(name, tablets, path, wait))
+        found = reply(mine)
+        if sock is None:
+            mine.close()
+        return found
+
+    def close(self) -> None:
+        self.node.end()
+        self.discovery.close()
+        for replica in self.replicas:
+            replica.close()
+
+
+def query(name: str, tablets: dict[int, float], path: str = "/look", wait: int = 6000) -> bytes:
+    parts = [{"tablet": shard, "fraction": weight} for shard, weight in tablets.items()]
+    return request(name, json.dumps({"tablets": parts, "statement": "c41e"}), path, wait)
+
+
+def request(name: str, text: str, path: str = "/look", wait: int = 6000) -> bytes:
+    body = text.encode()
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {name}\r\nX-Timeout-Ms: {wait}\r\n"
+    return head.encode() + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def reply(sock: socket.socket) -> tuple[int, dict[str, str], Any]:
+    """Status, fields and body of one answer; status 0 if the connection ends without one."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        try:
+            got = sock.recv(65536)
+        except ConnectionError:
+            got = b""
+        if not got:
+            return 0, {}, None
+        data += got
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    fields = {k.lower(): v for k, _, v in (line.partition(": ") for line in lines[1:])}
+    while len(body) < int(fields["content-length"]):
+        body += sock.recv(65536)
+    is_json = fields.get("content-type") == "application/json"
+    return int(lines[0].split(" ")[1]), fields, json.loads(body) if is_json else body.decode()
