Client connections stay open unless there is a crowd; a trace of what crosses the sockets

They stay open now; with more than a sixth of the descriptors open, the quietest that have been quiet for 2 s go, two for each that comes.

--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -27,7 +27,10 @@
 
 
 class ServerLimits(NamedTuple):
-    """Bounds on clients; seconds. `idle`: between messages; `head`, `body`: to read one; `write`: a reply."""
+    """Bounds on clients; seconds. `idle`: between messages; `head`, `body`: to read one; `write`: a reply.
+
+    `silent`: to send a first byte. With more than `crowd` connections open, those quiet for `quiet` may go.
+    """
 
     connections: int = 2000
     idle: float = 60.0
@@ -36,6 +39,9 @@
     write: float = 10.0
     message: Limits = Limits()
     stack: int = 256 * 1024
+    silent: float = 60.0
+    crowd: int = 1 << 30
+    quiet: float = 2.0
 
 
 class Reply(NamedTuple):
@@ -129,12 +135,13 @@
 
 
 class _State:
-    """Of one connection: a request is being worked on; no byte has come; it was told to end for want of room."""
+    """Of one connection: a request is being worked on; no byte has come; it was told to end for want of room;
+    since when nothing has been asked."""
 
-    __slots__ = ("busy", "silent", "ending")
+    __slots__ = ("busy", "silent", "ending", "since")
 
     def __init__(self) -> None:
-        self.busy, self.silent, self.ending = False, True, False
+        self.busy, self.silent, self.ending, self.since = False, True, False, time.monotonic()
 
 
 class HttpServer:
@@ -215,6 +222,8 @@
                 full = len(self._open) - self._ending >= self._limits.connections and not self._make_room()
                 if not full:
                     self._open[sock] = _State()
+                if len(self._open) - self._ending > self._limits.crowd:
+                    self._thin_out()
             if full:
                 self._turn_away(sock)
                 continue
@@ -233,11 +242,25 @@
         sock, state = next(silent, (None, None))
         if sock is None or state is None or self._ending >= _MOST_ENDING:
             return False
+        self._tell_to_end(sock, state)
+        return True
+
+    def _thin_out(self) -> None:
+        """End the two quietest connections that may go: more than come, so that a crowd shrinks."""
+        before = time.monotonic() - self._limits.quiet
+        quiet = [
+            (sock, state) for sock, state in self._open.items()
+            if not (state.busy or state.ending or state.silent) and state.since < before
+        ]
+        for sock, state in sorted(quiet, key=lambda pair: pair[1].since)[:2]:
+            self._tell_to_end(sock, state)
+
+    def _tell_to_end(self, sock: socket.socket, state: _State) -> None:
+        """Under the lock. Read no more: a request that has come already is still served."""
         state.ending = True
         self._ending += 1
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_RD)
-        return True
 
     def _turn_away(self, sock: socket.socket) -> None:
         self.refused += 1
@@ -276,7 +299,7 @@
         reader = http1.Reader(receive, self._limits.message)
         while True:
             if not reader.waiting:  # the time for a head runs from its first byte
-                sock.settimeout(self._limits.idle)
+                sock.settimeout(self._limits.silent if state.silent else self._limits.idle)
                 try:
                     if not sock.recv(1, socket.MSG_PEEK):
                         return
@@ -317,8 +340,8 @@
                 self._write(sock, reply._replace(close=close))
             finally:
                 reply.done()
+                state.since = replied = time.monotonic()
                 state.busy = False
-                replied = time.monotonic()
             if close:
                 return
 
--- a/gingervane/node/links.py
+++ b/gingervane/node/links.py
@@ -18,12 +18,13 @@
 from collections import deque
 from collections.abc import Callable
 from threading import Lock, Thread
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from gingervane.coordinator import types as t
 from gingervane.interface import Outcome
 from gingervane.wire import frames
 from gingervane.wire.frames import Answer, FrameError, FrameReader
+from gingervane.wire.tap import TAP
 
 _READ = 65536
 _OUTCOMES = {"served": Outcome.OK, "broke": Outcome.ERROR, "skipped": Outcome.REJECTED}
@@ -136,6 +137,8 @@
             data, parts = (item, set[str]()) if isinstance(item, bytes) else self._prepare(item)
             if not data:
                 continue
+            if TAP.on:
+                self._trace("call" if parts else "cancel", parts=sorted(parts) or data[5:].decode())
             sent = 0
             try:
                 sent = self.sock.send(data, socket.MSG_DONTWAIT)
@@ -168,6 +171,10 @@
             return b"", set()
         return call.exchange.write([e.content for e in errands], call.stop_at - now, call.address), left
 
+    def _trace(self, kind: str, **fields: Any) -> None:
+        with contextlib.suppress(OSError):
+            TAP.put(kind, self.sock.getsockname()[1], 0, to=self.address[0], held=len(self.out), **fields)
+
     def shut(self) -> None:
         """Be done with the connection: its thread wakes and ends what is out on it."""
         with contextlib.suppress(OSError):
@@ -187,6 +194,8 @@
                 return
             with self._lock:
                 self._up = True
+            if TAP.on:
+                self._trace("up")
             self._ready(self)
             self._read()
         except Exception as error:  # a bug must not leave an attempt without an ending
@@ -237,6 +246,8 @@
         with self._lock:
             held = self.out.pop(answer.id, None)
             known = held is not None or self._gone.pop(answer.id, None) is not None
+        if TAP.on:
+            self._trace("answer", part=answer.id, end=answer.end, waited=held is not None)
         if not known:
             raise FrameError(f"answer to a part {answer.id} that is not out")
         self.used = at
@@ -269,6 +280,8 @@
             waiting = {e.content.id for c in self._pending if isinstance(c, t.Call) for e in c.errands}
             never = waiting | self._half | (unwritten or set())
             self._pending.clear()
+        if TAP.on:
+            self._trace("broken", why=why, out=sorted(out), never=sorted(never))
         self.shut()
         now = time.monotonic()
         endings = []
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 import threading
@@ -23,6 +24,7 @@
 from gingervane.node.peers import Peers
 from gingervane.policy import Coordinator
 from gingervane.wire.http1 import Limits
+from gingervane.wire.tap import TAP
 
 # SIGKILL comes no sooner than this after SIGTERM, plus the longest deadline, which counts as 3 s where it is longer.
 KILL_AFTER, LONGEST_COUNTED = 0.7, 3.0
@@ -41,10 +43,12 @@
     """What the core tells an operator: few lines, nothing for each query."""
 
     def settled(self, query: int, plan: t.QueryPlan, final: t.Final, seconds: float) -> None:
-        pass
+        if TAP.on:
+            TAP.put("settled", 0, 0, query=plan.tag, verdict=final.verdict.value, seconds=seconds, why=final.why)
 
     def attempt(self, outcome: api.Outcome, replica: int, seconds: float) -> None:
-        pass
+        if TAP.on:
+            TAP.put("told", 0, 0, outcome=outcome.value, replica=replica, seconds=seconds)
 
     def remark(self, text: str) -> None:
         log(text)
@@ -81,7 +85,8 @@
             self.core.listed(known)
         connections = config.sockets - links - OWN_DESCRIPTORS
         self.server = HttpServer(*config.listen, self.front.handle, ServerLimits(
-            connections=connections, idle=2.0, head=1.5, body=1.0, write=5.0, message=Limits(16384, 65536),
+            connections=connections, head=1.5, body=1.0, write=5.0, message=Limits(16384, 65536), silent=2.0,
+            crowd=config.sockets // 6,  # half of what clients may hold for requests
         ))
 
     def _subscribe(self) -> None:
@@ -135,6 +140,8 @@
 def run(path: Path) -> int:
     # Blocked before any thread starts, so that all inherit it and none of these is lost or ends the program.
     signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
+    if trace := os.environ.get("GINGERVANE_TRACE"):
+        TAP.open(Path(trace))
     try:
         config = configuration.read(path)
         node = Node(path, config)
--- a/gingervane/wire/tap.py
+++ b/gingervane/wire/tap.py
@@ -1,4 +1,4 @@
-"""A record of what passes at this process's socket ends, for audits: off unless a file is named.
+"""A record of what passes at this process's socket ends, for audits and traces: off unless a file is named.
 
 One JSON object a line: `t` on the monotonic clock, `kind`, and the ports of the connection's two ends, by which the
 records of both ends can be matched. It is written below everything that decides or counts, so that an audit rests
@@ -25,6 +25,10 @@
     def open(self, path: Path) -> None:
         self._file = path.open("a", buffering=1)
 
+    @property
+    def on(self) -> bool:
+        return self._file is not None
+
     def put(self, kind: str, near: int, far: int, data: bytes = b"", **fields: Any) -> None:
         if self._file is None:
             return
