One turn of the decision thread a tick of the settings, and counts that prune themselves

A sampler that does not pause the program put 24% of what held the interpreter into Core._turn itself (waking for single answers), 25% into the driver and module, 18% into client threads, 15% into reading replicas. Each answer made a turn; the module is made for batches of one tick (GranularityS, 5 ms), so the node gathers for that long. A count of memory by line over 1,500 queries named policy._Count: times of finished parts are added for each answer and were only dropped when a cold server asked for their rate.

--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -188,7 +188,9 @@
     def __init__(
         self, module: Module, settings: api.Settings, bounds: Bounds, observer: Observer,
         senders: Callable[[Callable[[list[t.Ended]], None]], Carrier], outside: Outside | None = None,
+        gather: float = 0.0,
     ) -> None:
+        """`gather`: seconds between the starts of two turns, at least; what comes meanwhile makes one batch."""
         self.settings, self.admission = settings, Admission(bounds, settings.longest_wait_advice)
         self._driver = Driver(module, settings)
         self._driver.observe = observer.attempt
@@ -197,6 +199,7 @@
         self._senders = senders(self._take_endings)
         self._ids = itertools.count(1)
         self._stop, self.broken = Event(), Event()
+        self._gather, self._turned = gather, 0.0
         self._thread = Thread(target=self._run, name="decisions", daemon=True)
 
     def start(self) -> None:
@@ -266,12 +269,17 @@
         inputs: list[t.Input] = []
         wait = self._driver.next_due() - time.monotonic()
         try:
-            inputs += self._inbox.get(timeout=min(wait, 60.0)) if wait > 0 else self._inbox.get_nowait()
+            if wait > 0:
+                inputs += self._inbox.get(timeout=min(wait, 60.0))
+            if self._gather and (rest := self._turned + self._gather - time.monotonic()) > 0:
+                # Guards CPU: a turn for each answer costs more in waking threads than in deciding.
+                time.sleep(rest)
             while len(inputs) < _MOST_A_BATCH:
                 inputs += self._inbox.get_nowait()
         except Empty:
             pass
-        self._carry_out(self._driver.step(time.monotonic(), inputs))
+        self._turned = time.monotonic()
+        self._carry_out(self._driver.step(self._turned, inputs))
         self._senders.tend()
         # Done once told to stop, with nothing to read, nothing held and no own news.
         idle = self._inbox.empty() and not self._driver.open_queries and self._driver.next_due() > 0
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -326,7 +326,8 @@
             except TimeoutError:
                 self._write(sock, plain(408, f"{what}: not complete in time", close=True))
                 return
-            TAP.put("request", *_ports(sock))
+            if TAP.on:
+                TAP.put("request", *_ports(sock))
             state.busy = True
             client = _Client(sock, self._gone)
             try:
@@ -349,7 +350,8 @@
         fields = [*reply.fields, ("Connection", "close")] if reply.close else reply.fields
         data = http1.response(reply.status, fields, reply.body)
         sock.settimeout(self._limits.write)
-        TAP.put("reply", *_ports(sock), status=reply.status)
+        if TAP.on:
+            TAP.put("reply", *_ports(sock), status=reply.status)
         sock.sendall(data)
 
     def _linger(self, sock: socket.socket) -> None:
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -67,7 +67,7 @@
         most = Bounds(config.sockets * (1 + config.shards), 64 << 20)
         self.core = Core(
             Coordinator(settings, config.seed), settings, most, Lines(), lambda report: Links(limits, report),
-            Outside(self._subscribe, self._tell_peers),
+            Outside(self._subscribe, self._tell_peers), gather=settings.granularity,
         )
         self.front = ClientFront(self.core, config.class_names, config.shards)
         reader = ListReader(config.zones, clock_offset(), log)
--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -41,6 +41,8 @@
 
     def add(self, now: float) -> None:
         self.at.append(now)
+        if self.at[0] < now - self.span:  # guards memory where it is added to and seldom asked
+            self.get(now)
 
     def get(self, now: float) -> int:
         while self.at and self.at[0] < now - self.span:
