A connection is proved by a probe before parts go; silent ones are met anew

A line a second of what the module believed showed up to 6 of 12 replicas ejected with a mean time of 6 to 10 ms and nothing backed up: health, not load. Replicas were well; connections to them had fallen silent, the link kept giving new parts to such a connection (Links.start, drop_idle only shut those with nothing out), each trial part met the same silence, and ejection doubled. Now the module asks for a new connection at the first send after silence (policy._send), and links retire what they are told to close even with parts still out.

churn+long: 'sent on after its final answer', twice in 27,000 requests. Ruled out by trace: writing after settling. A trace of 31,000 frames had new connections first answering up to 64 ms after the kernel took them up, and queries settled by a copy 7 ms after a part went into such a connection: the part lies there until the replica takes the connection up. A link now sends a probe first and no part before its answer; unanswered within the connect time-out it never came up.

--- a/gingervane/node/links.py
+++ b/gingervane/node/links.py
@@ -81,12 +81,13 @@
         self._half: set[str] = set()  # parts of the frame that is being finished
         self.broken, self._up, self._writing, self.reading = False, False, False, True
         self.used = time.monotonic()
+        self.retired = False  # takes nothing new; goes once nothing is out on it
 
     # ---- the decision thread
 
     def room(self, parts: int, now: float) -> bool:
         held = max(len(self.out), len(self._pending))
-        if self.broken or held + parts > self._limits.streams:
+        if self.broken or self.retired or held + parts > self._limits.streams:
             return False
         return bool(self.out) or now - self.used < self._limits.idle
 
@@ -187,9 +188,21 @@
             try:
                 self.sock.settimeout(self._limits.connect)
                 self.sock.connect(self.address)
-                self.sock.settimeout(None)
                 self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            except OSError as error:
+                # Guards against parts that wait in an accepted connection that its replica has not taken up yet:
+                # their query can be answered elsewhere before they arrive, and they run after it. The kernel
+                # accepts at once; only an answer proves that somebody reads.
+                self.sock.sendall(frames.PROBE_FRAME)
+                reader, first = FrameReader(), None
+                while first is None:
+                    if not (data := self.sock.recv(_READ)):
+                        raise OSError("closed")
+                    reader.feed(data)
+                    first = reader.next()
+                if first[0] != frames.PROBE:
+                    raise OSError("not a probe's answer")
+                self.sock.settimeout(None)
+            except (OSError, FrameError) as error:
                 self.fail(f"connecting: {error}", connected=False)
                 return
             with self._lock:
@@ -197,7 +210,7 @@
             if TAP.on:
                 self._trace("up")
             self._ready(self)
-            self._read()
+            self._read(reader)
         except Exception as error:  # a bug must not leave an attempt without an ending
             self.fail(f"internal: {type(error).__name__}: {error}")
         finally:
@@ -213,8 +226,7 @@
             self._half, self._writing = set(), False
         self._ready(self)
 
-    def _read(self) -> None:
-        reader = FrameReader()
+    def _read(self, reader: FrameReader) -> None:
         while True:
             try:
                 data = self.sock.recv(_READ)
@@ -353,6 +365,7 @@
 
     def drop_idle(self, address: tuple[str, int]) -> None:
         for link in self._links.get(address, ()):
+            link.retired = True  # what is sent next opens a new one, whatever is still out on this
             if not link.out:
                 link.fail("dropped while idle")
 
@@ -367,7 +380,7 @@
         for address, links in list(self._links.items()):
             kept = []
             for link in links:
-                if not link.broken and not link.out and now - link.used >= self._limits.idle:
+                if not link.out and (link.retired or now - link.used >= self._limits.idle):
                     link.fail("idle")
                 if link.closable:
                     link.sock.close()
--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -89,6 +89,7 @@
     cold_from: float = 0.0  # start of the slow-start ramp
     credit: float = 0.0  # parts that slow start allows now
     credit_at: float = 0.0
+    mute_until: float = 0.0  # met by silence and not heard from since; 0: heard from
     ready: bool = False  # listed as neither draining nor gone
 
 
@@ -339,8 +340,11 @@
         met = sum(c[1] < self.batch for c in server.calls)
         attempt = _Attempt(part, part.made, server, call, is_copy, self.now - server.used, met)
         # Guards against connections dropped unseen while idle: silence after a pause tells what is too long.
-        if attempt.idle * 0.5 ** ((self.now - self.limit_at) / WINDOW) >= self.idle_limit:
+        # And against one that fell silent under its parts: its server may be well, and is met on a new one.
+        too_long = attempt.idle * 0.5 ** ((self.now - self.limit_at) / WINDOW) >= self.idle_limit
+        if too_long or self.now < server.mute_until:
             self.actions.append(api.CloseIdle(server.listed.id))
+            server.mute_until = 0.0
         server.used = self.now
         server.calls[call] = server.calls.get(call, 0) + 1
         self.attempts[part.arrived.id, part.made] = attempt
@@ -360,6 +364,7 @@
         attempt.waits += 1
         if attempt.waits % SILENCE == 0 and attempt.server.reached < attempt.call[0]:
             self._judge(attempt.server, 1.0)  # silence: no part sent as late or later has been answered
+            attempt.server.mute_until = self.now + 2 * EJECT_MOST
             self.idle_limit, self.limit_at = min(self.idle_limit, max(attempt.idle, query.kind.aim)), self.now
         # One copy; where both it and its twin are at ejected servers they count as failed: a try may follow.
         failed = all(a.server.ejected_for for a in part.out)
@@ -398,6 +403,7 @@
             self._judge(server, 1.0)
         answered = event.outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.REJECTED)
         server.reached = max(server.reached, attempt.call[0] if answered else 0.0)
+        server.mute_until = 0.0 if answered else server.mute_until
         if answered and not self.stalled:
             # Guards against a jam that outlives its trigger: full queues answer fast and tell no delay.
             took = query.kind.aim if event.outcome is api.Outcome.REJECTED else event.latency
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -801,6 +801,22 @@
     assert sends(host.log[seen:]) and not [a for a in host.log[seen:] if isinstance(a, api.CloseIdle)]
 
 
+def test_a_server_met_by_silence_is_met_on_a_new_connection_once() -> None:
+    """Found on sockets: connections that fell silent kept taking parts, and their servers stayed out."""
+    host = Host(replicas=1)
+    host.warm_up()
+    part = part_of(host, host.query(0))
+    host.wait(0.5)  # silence
+    seen = len(host.log)
+    host.query(0)
+    host.query(0)
+    assert len([a for a in host.log[seen:] if isinstance(a, api.CloseIdle)]) == 1
+    host.finish(part)  # heard from after all
+    seen = len(host.log)
+    host.query(0)
+    assert not [a for a in host.log[seen:] if isinstance(a, api.CloseIdle)]
+
+
 # ---- own standstill
 
 
