Silent connections have a limit of their own only where a server is given one

test_hard_cases waited 30 and 60 s: the new default for connections that never spoke stood above the idle time-out that other fronts set. Without a limit of its own a silent connection keeps to idle.

--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -29,7 +29,8 @@
 class ServerLimits(NamedTuple):
     """Bounds on clients; seconds. `idle`: between messages; `head`, `body`: to read one; `write`: a reply.
 
-    `silent`: to send a first byte. With more than `crowd` connections open, those quiet for `quiet` may go.
+    `silent`: to send a first byte, where that is not `idle`. With more than `crowd` connections open, those quiet for
+    `quiet` may go.
     """
 
     connections: int = 2000
@@ -39,7 +40,7 @@
     write: float = 10.0
     message: Limits = Limits()
     stack: int = 256 * 1024
-    silent: float = 60.0
+    silent: float | None = None
     crowd: int = 1 << 30
     quiet: float = 2.0
 
@@ -299,7 +300,8 @@
         reader = http1.Reader(receive, self._limits.message)
         while True:
             if not reader.waiting:  # the time for a head runs from its first byte
-                sock.settimeout(self._limits.silent if state.silent else self._limits.idle)
+                never_spoke = state.silent and self._limits.silent is not None
+                sock.settimeout(self._limits.silent if never_spoke else self._limits.idle)
                 try:
                     if not sock.recv(1, socket.MSG_PEEK):
                         return
