--- a/gingervane/lab/rehearse.py
+++ b/gingervane/lab/rehearse.py
@@ -252,7 +252,10 @@
         with self._lock:
             pids = {number: process.child.pid for number, process in self._coordinators.items()}
         for number, pid in pids.items():
-            fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+            try:
+                fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+            except FileNotFoundError:  # killed by the day's script, and not started again yet
+                continue
             ticks = os.sysconf("SC_CLK_TCK")
             out[number] = {
                 "cpu_s": (int(fields[11]) + int(fields[12])) / ticks,
