Silent connections make room only on servers that limit their silence

test_bounds_refuse_plainly waited for a 503 past the bound: the oldest silent connection had made room, on a front that lets connections be quiet. _make_room acts only where ServerLimits.silent is set, as the node does.

--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -239,6 +239,8 @@
 
     def _make_room(self) -> bool:
         """End the oldest connection that has said nothing. Guards against hundreds of those keeping all out."""
+        if self._limits.silent is None:  # here a connection may be quiet before it speaks
+            return False
         silent = ((sock, state) for sock, state in self._open.items() if state.silent and not state.ending)
         sock, state = next(silent, (None, None))
         if sock is None or state is None or self._ending >= _MOST_ENDING:
