Withdrawn parts keep their place on a connection until answered or out of time

Ruled out before: frames written after settling (trace, none of 31,000). The protocol leaves parts past a connection's streams (32) unread, and a withdrawn part may run on; Links counted only what was out (_Link.room). Such parts keep their place now until answered or their time is up; a further connection opens instead. The test fails on the text before.

--- a/gingervane/node/links.py
+++ b/gingervane/node/links.py
@@ -86,11 +86,18 @@
     # ---- the decision thread
 
     def room(self, parts: int, now: float) -> bool:
-        held = max(len(self.out), len(self._pending))
-        if self.broken or self.retired or held + parts > self._limits.streams:
+        if self.broken or self.retired or not self._has_place(parts, now):
             return False
         return bool(self.out) or now - self.used < self._limits.idle
 
+    def _has_place(self, parts: int, now: float) -> bool:
+        """Whether the replica surely reads that many more. What was withdrawn may run on there and keep its place:
+        past the streams of a connection a part lies unread, and arrives when its query is long answered."""
+        if len(self.out) + len(self._gone) + parts > self._limits.streams:
+            with self._lock:
+                self._gone = {part: until for part, until in self._gone.items() if until > now}
+        return len(self.out) + len(self._gone) + parts <= self._limits.streams
+
     @property
     def closable(self) -> bool:
         return self.broken and not self.reading and not self._writing
@@ -115,9 +122,6 @@
             if self.broken or held is None or held.errand is not errand:
                 return
             del self.out[part]
-            now = time.monotonic()
-            if len(self._gone) > 4 * self._limits.streams:
-                self._gone = {p: until for p, until in self._gone.items() if until > now}
             self._gone[part] = held.call.stop_at
             begun = part in self._half
             if not begun:
@@ -174,7 +178,8 @@
 
     def _trace(self, kind: str, **fields: Any) -> None:
         with contextlib.suppress(OSError):
-            TAP.put(kind, self.sock.getsockname()[1], 0, to=self.address[0], held=len(self.out), **fields)
+            held, gone = len(self.out), len(self._gone)
+            TAP.put(kind, self.sock.getsockname()[1], 0, to=self.address[0], held=held, gone=gone, **fields)
 
     def shut(self) -> None:
         """Be done with the connection: its thread wakes and ends what is out on it."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,6 +11,7 @@
 import sys
 import threading
 import tomllib
+from collections import Counter
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
@@ -307,6 +308,25 @@
         platform.close()
 
 
+def test_withdrawn_parts_keep_their_place_on_a_connection(tmp_path: Path) -> None:
+    """A replica need not stop what it runs; past the streams of a connection it reads no further."""
+    by_wire = Counter[int]()
+
+    def note(wire: Wire, part: Part) -> None:
+        by_wire[id(wire)] += 1
+
+    silent = Replica(0, note)
+    limits = SETTINGS["Limits"] | {"StreamsPerConn": 4}
+    platform = Platform(tmp_path, silent, settings=SETTINGS | {"Limits": limits})
+    for number in range(10):
+        with platform.client() as sock:
+            sock.sendall(query(f"q{number}", {0: 1.0}))
+            silent.parts.wait(number + 1)
+        silent.cancels.wait(number + 1)
+    assert sum(by_wire.values()) == 10 and max(by_wire.values()) <= 4, by_wire
+    platform.close()
+
+
 def test_nothing_goes_to_a_replica_that_drains(platform: Platform) -> None:
     first, second = platform.replicas
     platform.discovery.change(host(first, health="DRAINING"))
