What has not begun to leave stays when its query is over; lists go first in a batch

Need: an attempt that begins after its query's answer or its client's leaving breaks a rule, and so does one to a replica that was told to drain.

Cause, read in the code and then forced by tests on sockets: - `policy._drop` says Cancel only where attempts may be cancelled, and `Driver._settle` claimed nothing. A part that waited for its connection left when that came up: with `Cancelling` false the replica got 'gone.0' and 'gone.1' after their client had closed. Likewise a frame of which half had left was finished. - `Driver.step` handed the module an ending before a list of the same batch: a failed part was sent again to a replica of which that list said that it drains. Where it said 'gone', the address had been forgotten (`_hold_back`) before the send was made (`_send`): a KeyError that breaks the decision thread. Forced on the driver. Ruled out: with `Cancelling` true neither happens; a part whose query ends by its time is claimed by its own time-out in either case (both orders are in the tests).

Change: the driver keeps back what no sender has claimed when a part's answer is in, its step ends or its query is settled; half a frame is not finished; lists are taken first. Calls with nothing left are filtered after the last settling.

Measured: the new tests fail without the change (4 on sockets and the driver, 1 on the batch's order) and pass with it.

--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -111,7 +111,16 @@
         """Take inputs in order, as one batch of the module, and say what to do."""
         self.counts.batches += 1
         effects: list[t.Effect] = []
-        events, self._again = self._again, []
+        # Lists first: guards against a part that goes to a replica of which the same batch says that it drains or is
+        # gone, because an ending before the list had the module send it again.
+        events: list[api.Event] = []
+        for item in inputs:
+            if isinstance(item, t.Listed):
+                self._addresses.update(item.addresses)
+                events.append(item.event)
+                events += self._hold_back(item.event, now, effects)
+        again, self._again = self._again, []
+        events += again
         closing: dict[int, tuple[t.Verdict, str]] = {}  # those that the module settles without a word
         for item in inputs:
             match item:
@@ -122,10 +131,6 @@
                 case t.Left(query):
                     if query in self._queries and closing.setdefault(query, (t.Verdict.LEFT, "")):
                         events.append(api.QueryExpired(query))
-                case t.Listed(event, addresses):
-                    self._addresses.update(addresses)
-                    events.append(event)
-                    events += self._hold_back(event, now, effects)
                 case t.Heard(sender, payload):
                     events.append(api.PeerMessage(sender, payload))
                 case t.Shutdown():
@@ -140,7 +145,9 @@
         if events:
             self._carry_out(now, self._module.handle(now, events), effects)
         for query, (verdict, why) in closing.items():
-            self._settle(query, verdict, effects, why=why)
+            self._settle(now, query, verdict, effects, why=why)
+        # What was called off in the batch that made it never leaves.
+        effects = [e for e in effects if not isinstance(e, t.Start) or e.call.live]
         for effect in effects:
             if isinstance(effect, t.Settle):
                 effect.final.path = list(effect.final.path)  # complete now; its reader is another thread
@@ -228,7 +235,26 @@
         self.observe(outcome, attempt.replica, seconds)
         self._let_go(attempt, effects)
         self._forget(ended.part)
-        return [api.AttemptEnded(ended.part, attempt.number, attempt.replica, outcome, seconds)]
+        told: list[api.Event] = [
+            api.AttemptEnded(ended.part, attempt.number, attempt.replica, outcome, seconds)
+        ]
+        return told + self._keep_back(ended.part, ended.ended_at, effects) if outcome is api.Outcome.OK else told
+
+    def _keep_back(self, number: int, now: float, effects: list[t.Effect]) -> list[api.Event]:
+        """A part is wanted no more: what of it has not begun to leave never does, whether or not the platform lets
+        attempts be cancelled, and a frame that has left in part is not finished.
+
+        Guards against a part that waits for its connection and leaves when its query has long been answered.
+        """
+        events: list[api.Event] = []
+        part = self._parts.get(number)
+        for attempt in list(part.out.values()) if part else ():
+            if attempt.errand and attempt.errand.claim():
+                never = t.Ended(number, attempt.number, api.Outcome.NEVER_SENT, now, None, "not wanted any more")
+                events += self._end(never, effects)
+            elif attempt.errand and attempt.call and not self._settings.may_cancel:
+                effects.append(t.Withdraw(attempt.call, attempt.errand, tell=False))
+        return events
 
     def _timed_out(self, label: Any, now: float, effects: list[t.Effect]) -> list[api.Event]:
         """An attempt's `stop_at` has come: it ends here, whatever its connection is doing."""
@@ -271,11 +297,11 @@
                 case api.SetTimer(delay, label):
                     self._timers.add(now + delay, label)
                 case api.Answer(query, whole):
-                    self._answer(query, whole, effects)
+                    self._answer(now, query, whole, effects)
                 case api.Refuse(query, wait):
-                    self._settle(query, t.Verdict.REFUSED, effects, wait)
+                    self._settle(now, query, t.Verdict.REFUSED, effects, wait)
                 case api.Fail(query):
-                    self._settle(query, t.Verdict.FAILED, effects)
+                    self._settle(now, query, t.Verdict.FAILED, effects)
                 case api.CloseIdle(replica):
                     if replica in self._addresses:
                         effects.append(t.DropIdle(self._addresses[replica]))
@@ -285,8 +311,6 @@
                     effects.append(t.Subscribe())
                 case api.TellPeers(payload):
                     effects.append(t.Tell(payload))
-        # What was called off in the batch that made it never leaves.
-        effects[:] = [e for e in effects if not isinstance(e, t.Start) or e.call.live]
 
     def _send(
         self, now: float, number: int, replica: int, stop_at: float, calls: dict[tuple[int, int], t.Call],
@@ -324,30 +348,34 @@
         attempt.call = call
         self._timers.add(stop_at, (number, attempt.number))
 
-    def _answer(self, number: int, whole: bool, effects: list[t.Effect]) -> None:
+    def _answer(self, now: float, number: int, whole: bool, effects: list[t.Effect]) -> None:
         query = self._queries.get(number)
         if query and whole and len(query.results) < len(query.asked):
             if self._settings.classes[query.arrived.plan.query_class].whole_share < 1.0:
                 # As good as whole for its class; what is missing is said all the same.
-                self._answer_step(query, t.Verdict.SHORT, whole, effects)
+                self._answer_step(now, query, t.Verdict.SHORT, whole, effects)
                 return
             # The module counted what is not here. It cannot happen; were it to, no one gets a false answer.
-            self._settle(number, t.Verdict.FAILED, effects, why="internal: a part of a whole answer is missing")
+            self._settle(now, number, t.Verdict.FAILED, effects, why="internal: a part of a whole answer is missing")
             return
         if query:
-            self._answer_step(query, t.Verdict.WHOLE if whole else t.Verdict.SHORT, whole, effects)
+            self._answer_step(now, query, t.Verdict.WHOLE if whole else t.Verdict.SHORT, whole, effects)
 
-    def _answer_step(self, query: _Query, verdict: t.Verdict, whole: bool, effects: list[t.Effect]) -> None:
+    def _answer_step(
+        self, now: float, query: _Query, verdict: t.Verdict, whole: bool, effects: list[t.Effect],
+    ) -> None:
         """The end of the query, or of its first step where the class has a second one."""
         plan, first = query.arrived.plan, query.results
         if plan.second_step is None or query.second:
-            self._settle(query.id, verdict, effects, whole=whole)
+            self._settle(now, query.id, verdict, effects, whole=whole)
             return
         query.second, query.results = True, {}
+        for part in query.parts:
+            self._again += self._keep_back(part, now, effects)
         self._again += self._ask(query, plan.second_step(first, whole), len(plan.parts))
 
     def _settle(
-        self, number: int, verdict: t.Verdict, effects: list[t.Effect], wait: float = 0.0, why: str = "",
+        self, now: float, number: int, verdict: t.Verdict, effects: list[t.Effect], wait: float = 0.0, why: str = "",
         whole: bool = False,
     ) -> None:
         query = self._queries.pop(number, None)
@@ -364,6 +392,7 @@
         self.counts.verdicts[verdict.value] = self.counts.verdicts.get(verdict.value, 0) + 1
         effects.append(t.Settle(query.arrived.settled, final, number))
         for part in query.parts:
+            self._again += self._keep_back(part, now, effects)
             self._forget(part)
 
     def _let_go(self, attempt: _Attempt, effects: list[t.Effect]) -> None:
@@ -375,6 +404,6 @@
 
     def _forget(self, number: int) -> None:
         """Drop a part that is out nowhere and whose query is over."""
-        part = self._parts[number]
-        if not part.out and part.query.id not in self._queries:
+        part = self._parts.get(number)
+        if part and not part.out and part.query.id not in self._queries:
             del self._parts[number]
--- a/gingervane/lab/saboteur.py
+++ b/gingervane/lab/saboteur.py
@@ -29,9 +29,9 @@
     """One query in eight is never settled."""
     settle = driving.Driver._settle
 
-    def forget(self: driving.Driver, number: int, *args: Any, **kwargs: Any) -> None:
+    def forget(self: driving.Driver, now: float, number: int, *args: Any, **kwargs: Any) -> None:
         if number % 8:
-            settle(self, number, *args, **kwargs)
+            settle(self, now, number, *args, **kwargs)
 
     driving.Driver._settle = forget  # type: ignore[method-assign]
 
--- a/gingervane/node/links.py
+++ b/gingervane/node/links.py
@@ -138,15 +138,18 @@
         self.flush()
         return True
 
-    def withdraw(self, errand: t.Errand) -> None:
+    def withdraw(self, errand: t.Errand, tell: bool) -> None:
         part = errand.content.id
         with self._lock:
             held = self.out.get(part)
             if self.broken or held is None or held.errand is not errand:
                 return
-            del self.out[part]
-            self._gone[part] = held.call.stop_at
             begun = part in self._half
+            if not tell and not begun:
+                return
+            if tell:
+                del self.out[part]
+                self._gone[part] = held.call.stop_at
             if not begun:
                 self._pending.append(frames.cancel(part))
         if begun:
@@ -423,9 +426,9 @@
     def call_off(self, call: t.Call) -> None:
         """Each errand is withdrawn by itself."""
 
-    def withdraw(self, call: t.Call, errand: t.Errand) -> None:
+    def withdraw(self, call: t.Call, errand: t.Errand, tell: bool) -> None:
         if isinstance(call.token, _Link):
-            call.token.withdraw(errand)
+            call.token.withdraw(errand, tell)
 
     def drop_idle(self, address: tuple[str, int]) -> None:
         for link in self._links.get(address, ()):
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -86,6 +86,8 @@
         self.parts, self.cancels, self.ended = Waiter(), Waiter(), Waiter()
         self.wires: list[Wire] = []
         self.reads = self.answers_probes = True
+        self.reading = threading.Event()  # while it is cleared, what comes lies unread
+        self.reading.set()
         self.probes = 0
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port: int = self._listener.getsockname()[1]
@@ -102,7 +104,7 @@
     def _serve(self, wire: Wire) -> None:
         data = bytearray()
         with contextlib.suppress(OSError):
-            while self.reads and (got := wire.sock.recv(65536)):
+            while self.reads and self.reading.wait(PATIENCE) and (got := wire.sock.recv(65536)):
                 data += got
                 while len(data) >= 4 and len(data) >= 4 + (length := struct.unpack_from("<I", data)[0]):
                     letter, rest = data[4:5], bytes(data[5 : 4 + length])
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,135 @@
+"""Two events that cross at the node's sockets, each order forced: a hook or a stand-in holds one back.
+
+The table in docs/design/node.md names the place that each of these forces.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gingervane.coordinator import types as t
+from gingervane.node import links as links_module
+from gingervane.node.links import Links, _Link
+from gingervane.node.service import Lines
+from platform_standins import PATIENCE, SETTINGS, Platform, Replica, Waiter, query, request
+
+
+def with_limits(**changes: object) -> dict[str, Any]:
+    return SETTINGS | {"Limits": SETTINGS["Limits"] | changes}
+
+
+def until(true: Callable[[], object], what: str) -> None:
+    """Wait for a state that nothing tells of."""
+    pause = threading.Event()
+    for _ in range(int(PATIENCE / 0.005)):
+        if true():
+            return
+        pause.wait(0.005)
+    raise AssertionError(f"never: {what}")
+
+
+@pytest.fixture
+def settled(monkeypatch: pytest.MonkeyPatch) -> Waiter:
+    """Ids and verdicts of queries as the decision thread settles them."""
+    seen, settle = Waiter(), Lines.settled
+
+    def note(self: Lines, number: int, plan: t.QueryPlan, final: t.Final, seconds: float) -> None:
+        settle(self, number, plan, final, seconds)
+        seen.put((plan.tag, final.verdict))
+
+    monkeypatch.setattr(Lines, "settled", note)
+    return seen
+
+
+@pytest.fixture
+def rising(monkeypatch: pytest.MonkeyPatch) -> Iterator[threading.Event]:
+    """No connection to a replica comes up before this is set."""
+    up, came_up = threading.Event(), _Link._came_up
+
+    def held(self: _Link) -> None:
+        up.wait(PATIENCE)
+        came_up(self)
+
+    monkeypatch.setattr(_Link, "_came_up", held)
+    yield up
+    up.set()
+
+
+def links_of(platform: Platform) -> Links:
+    links = platform.node.core._senders
+    assert isinstance(links, Links)
+    return links
+
+
+def asked(*replicas: Replica) -> list[str]:
+    return [part.id for replica in replicas for part in replica.parts.items]
+
+
+# ---- a part that waits, and the end of its query
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+@pytest.mark.parametrize("path", ["/look", "/book"])
+def test_a_part_that_waits_for_its_connection_does_not_leave_after_its_client(
+    tmp_path: Path, settled: Waiter, rising: threading.Event, cancelling: bool, path: str,
+) -> None:
+    """Where attempts may not be cancelled the module cancels none: the part left once its connection was up."""
+    replica = Replica(0)
+    platform = Platform(tmp_path, replica, settings=with_limits(Cancelling=cancelling, ConnectTimeoutS=PATIENCE))
+    sock = platform.client()
+    sock.sendall(query("gone", {0: 0.5, 1: 0.5}, path))
+    until(lambda: links_of(platform).held == 2, "the parts wait for their connection")
+    sock.close()
+    assert settled.wait() == [("gone", t.Verdict.LEFT)]
+    rising.set()
+    assert platform.ask("after", {0: 1.0})[0] == 200
+    assert asked(replica) == ["after.0"]
+    platform.close()
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+def test_a_part_that_waits_for_its_connection_does_not_leave_after_its_query_s_answer(
+    tmp_path: Path, rising: threading.Event, cancelling: bool,
+) -> None:
+    replica = Replica(0)
+    platform = Platform(tmp_path, replica, settings=with_limits(Cancelling=cancelling, ConnectTimeoutS=PATIENCE))
+    assert platform.ask("late", {0: 1.0}, wait=200)[0] == 503
+    rising.set()
+    assert platform.ask("after", {0: 1.0})[0] == 200
+    assert asked(replica) == ["after.0"]
+    platform.close()
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+def test_a_frame_that_has_left_in_part_is_not_finished_for_a_client_that_has_gone(
+    tmp_path: Path, settled: Waiter, monkeypatch: pytest.MonkeyPatch, cancelling: bool,
+) -> None:
+    connect = _Link.connect
+
+    def small(self: _Link) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        connect(self)
+
+    monkeypatch.setattr(links_module._Link, "connect", small)
+    replica = Replica(0)
+    replica._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    replica.reading.clear()
+    platform = Platform(tmp_path, replica, settings=with_limits(Cancelling=cancelling))
+    sock = platform.client()
+    text = json.dumps({"tablets": [{"tablet": 0, "fraction": 1}], "statement": "x" * 60000})
+    sock.sendall(request("gone", text))
+    until(lambda: any(link._half for link in links_of(platform)._by_number.values()), "half of the frame has left")
+    sock.close()
+    assert settled.wait() == [("gone", t.Verdict.LEFT)]
+    replica.reading.set()
+    replica.ended.wait()
+    assert asked(replica) == []
+    assert platform.ask("after", {0: 1.0})[0] == 200
+    platform.close()
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -188,8 +189,8 @@
 class Bench:
     """One driver and hand-fed inputs."""
 
-    def __init__(self, kind: api.QueryClass) -> None:
-        chosen = SETTINGS._replace(classes=(kind,), cells=1, width=1, parts_per_call=1)
+    def __init__(self, kind: api.QueryClass, chosen: api.Settings | None = None) -> None:
+        chosen = chosen or SETTINGS._replace(classes=(kind,), cells=1, width=1, parts_per_call=1)
         self.spy, self.now = Spy(Coordinator(chosen, 1)), 100.0
         self.driver = Driver(self.spy, chosen)
         self.finals: list[t.Final] = []
@@ -304,3 +305,31 @@
     for n in range(5):
         still.tick(102.0 + n * 0.05)
     assert still.came(102.2) == 102.2 and still.count == 1
+
+
+def test_what_no_cancel_may_stop_is_kept_back_while_it_has_not_begun() -> None:
+    """Its query is over, or its twin has answered: what no sender has claimed needs nobody's leave to be stopped."""
+    chosen = SETTINGS._replace(classes=CLASSES[:1], cells=1, width=1, may_cancel=False, parts_per_call=1)
+    for answered in (True, False):
+        bench = Bench(CLASSES[0], chosen)
+        (first,) = bench.ask(3.0)
+        (copy,) = bench.run_to(bench.now + 0.6)
+        assert first.errands[0].attempt == 0 and copy.errands[0].attempt == 1
+        bench.step(good(copy, bench.now, "copy") if answered else t.Left(1))
+        bench.step()
+        assert not first.errands[0].claim() and not bench.spy.out
+        assert [f.verdict for f in bench.finals] == [t.Verdict.WHOLE if answered else t.Verdict.LEFT]
+
+
+def test_a_list_goes_before_an_ending_in_the_same_batch() -> None:
+    """The ending has the part sent again: neither to a replica that the list behind it says drains, nor to one that
+    it says is gone, whose address the driver no longer has (which broke the decision thread)."""
+    for state, which in itertools.product((api.ReplicaState.DRAINING, api.ReplicaState.GONE), (1, 2)):
+        bench = Bench(query_class(aim=1.0, deadline=3.0))
+        (call,) = bench.ask(3.0)
+        keeps = (call.replica + which) % 3
+        rows = tuple(replica(i, state=api.ReplicaState.READY if i == keeps else state) for i in range(3))
+        call.errands[0].claim()
+        ended = t.Ended(call.errands[0].part, 0, api.Outcome.CONNECT_FAILED, bench.now, None, "refused")
+        again = bench.step(ended, t.Listed(api.MembershipChanged(api.ListKind.DELTA, rows), {}))
+        assert [c.replica for c in again] == [keeps]
