--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -82,7 +82,8 @@
 ) -> None:
     """Where attempts may not be cancelled the module cancels none: the part left once its connection was up."""
     replica = Replica(0)
-    platform = Platform(tmp_path, replica, settings=with_limits(Cancelling=cancelling, ConnectTimeoutS=PATIENCE))
+    limits = with_limits(Cancelling=cancelling, ConnectTimeoutS=PATIENCE)
+    platform = Platform(tmp_path, replica, settings=limits)
     sock = platform.client()
     sock.sendall(query("gone", {0: 0.5, 1: 0.5}, path))
     until(lambda: links_of(platform).held == 2, "the parts wait for their connection")
@@ -99,7 +100,8 @@
     tmp_path: Path, rising: threading.Event, cancelling: bool,
 ) -> None:
     replica = Replica(0)
-    platform = Platform(tmp_path, replica, settings=with_limits(Cancelling=cancelling, ConnectTimeoutS=PATIENCE))
+    limits = with_limits(Cancelling=cancelling, ConnectTimeoutS=PATIENCE)
+    platform = Platform(tmp_path, replica, settings=limits)
     assert platform.ask("late", {0: 1.0}, wait=200)[0] == 503
     rising.set()
     assert platform.ask("after", {0: 1.0})[0] == 200
@@ -125,7 +127,8 @@
     sock = platform.client()
     text = json.dumps({"tablets": [{"tablet": 0, "fraction": 1}], "statement": "x" * 60000})
     sock.sendall(request("gone", text))
-    until(lambda: any(link._half for link in links_of(platform)._by_number.values()), "half of the frame has left")
+    links = links_of(platform)._by_number
+    until(lambda: any(link._half for link in links.values()), "half of the frame has left")
     sock.close()
     assert settled.wait() == [("gone", t.Verdict.LEFT)]
     replica.reading.set()
