--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -80,7 +80,7 @@
 def test_a_part_that_waits_for_its_connection_does_not_leave_after_its_client(
     tmp_path: Path, settled: Waiter, rising: threading.Event, cancelling: bool, path: str,
 ) -> None:
-    """Where attempts may not be cancelled the module cancels none: the part left once its connection was up."""
+    """Where attempts may not be cancelled the module cancels none: the part left later."""
     replica = Replica(0)
     limits = with_limits(Cancelling=cancelling, ConnectTimeoutS=PATIENCE)
     platform = Platform(tmp_path, replica, settings=limits)
