--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -308,7 +308,7 @@
 
 
 def test_what_no_cancel_may_stop_is_kept_back_while_it_has_not_begun() -> None:
-    """Its query is over, or its twin has answered: what no sender has claimed needs no leave to be stopped."""
+    """Its query is over, or its twin has answered: what no sender has claimed needs no leave to stop."""
     chosen = SETTINGS._replace(classes=CLASSES[:1], cells=1, width=1, may_cancel=False, parts_per_call=1)
     for answered in (True, False):
         bench = Bench(CLASSES[0], chosen)
@@ -322,7 +322,7 @@
 
 
 def test_a_list_goes_before_an_ending_in_the_same_batch() -> None:
-    """The ending has the part sent again: neither to a replica that the list behind it says drains, nor to one
+    """The ending has the part sent again: neither to a replica that the next list says drains, nor to one
     that it says is gone, whose address the driver no longer has (which broke the decision thread)."""
     for state, which in itertools.product((api.ReplicaState.DRAINING, api.ReplicaState.GONE), (1, 2)):
         bench = Bench(query_class(aim=1.0, deadline=3.0))
