Client connections have one owner: no request is read after its connection's end and sent on

Need: a request that is read after the shutdown and sent on is lost, and so is one whose connection we end without an answer; a close over unread bytes resets the connection and can take a reply with it.

Cause, each forced on real sockets on the old text (the same steps as in the new tests, hooks in its own places): - `_end_idle` and `_tell_to_end` shut our receiving side, which the kernel reports as POLLRDHUP: a request read in that moment was taken for one whose client had left ("(500, {'connection': 'close', ...}, 'failed')" in place of 200). `busy` was set only once the body was in. - `Node.end` ended connections before admission closed: a request read in between was sent on (200 in place of 503). - A front between `Admission.enter` and its put into the inbox, while the decision thread ended: no answer at all (TimeoutError after 3 s). - Bytes behind the last request, or a request behind the end: ConnectionResetError in place of the end. - A client that left before its request was read: the part went out and was cancelled a moment later (not sent now). Ruled out: a request in halves around the end was answered 503 on the old text too.

Change: `fronts/connections.py` says under one lock what each connection does next (resting, at work, ending). Only a resting one on which nothing lies unread is ended; the end shuts our sending side and throws away what still comes, for up to 0.5 s, 1 MiB and 16 connections. News of a leaving that proves to be none is asked for again. Threads are made by need, not one for each connection. Admission closes first, and a query that passed it is in the inbox before the end. 16 descriptors are set aside for connections at their end, which came on top of the limit before.

--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -200,6 +200,7 @@
         self._ids = itertools.count(1)
         self._stop, self.broken = Event(), Event()
         self._gather, self._turned = gather, 0.0
+        self._door = Lock()  # see `submit`
         self._thread = Thread(target=self._run, name="decisions", daemon=True)
 
     def start(self) -> None:
@@ -221,9 +222,10 @@
 
         `answers`: where its final answer goes, for a caller that waits for several tickets at once.
         """
-        self.admission.enter(1 + len(plan.parts), self._driver.held_bytes)
-        ticket = Ticket(next(self._ids), plan, self, answers)
-        self._inbox.put([t.Arrived(ticket.id, plan, ticket.settle)])
+        with self._door:  # guards against one that is admitted before the end, and put behind it where nobody looks
+            self.admission.enter(1 + len(plan.parts), self._driver.held_bytes)
+            ticket = Ticket(next(self._ids), plan, self, answers)
+            self._inbox.put([t.Arrived(ticket.id, plan, ticket.settle)])
         return ticket
 
     def left(self, query: int) -> None:
@@ -239,9 +241,14 @@
         if self._inbox.qsize() < _MOST_A_BATCH:
             self._inbox.put([t.Heard(sender, payload)])
 
+    def close(self) -> None:
+        """Take nothing new from now on: what was taken by now is in the inbox."""
+        with self._door:
+            self.admission.close("shutting down")
+
     def stop(self, grace: float) -> None:
         """Take nothing new, let what is held be answered for `grace` seconds, refuse or fail the rest, and end."""
-        self.admission.close("shutting down")
+        self.close()
         until = time.monotonic() + grace
         while self.admission.open and time.monotonic() < until and not self.broken.is_set():
             self._stop.wait(0.005)
--- a/gingervane/node/clients.py
+++ b/gingervane/node/clients.py
@@ -47,6 +47,8 @@
             name, plan = self._read(request, path, body, arrived)
         except HttpError as error:
             return plain(error.status, error.what)
+        if client.left():  # guards against sending on what lay unread when its client went
+            return plain(500, "its client has left", close=True)
         with self._lock:
             if name in self._open:
                 return plain(409, "X-Request-ID: a request with this id is open")
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -15,6 +15,7 @@
 from gingervane import interface as api
 from gingervane.coordinator import types as t
 from gingervane.coordinator.core import Bounds, Core, Outside
+from gingervane.fronts.connections import MOST_ENDING
 from gingervane.fronts.http_server import HttpServer, ServerLimits
 from gingervane.node import config as configuration
 from gingervane.node.clients import ClientFront
@@ -30,7 +31,7 @@
 KILL_AFTER, LONGEST_COUNTED = 0.7, 3.0
 LAST_ANSWERS = 0.3  # seconds before SIGKILL may come, by when all that is still open has been answered
 OWN_DESCRIPTORS = 24  # the listener, discovery, datagrams, epoll, standard streams, and some to spare
-LAST_WRITES = 0.1  # seconds for threads to leave once every reply is written
+LAST_WRITES = 0.25  # of them, to write the replies and to have them read, before the process takes them with it
 _SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 
 
@@ -84,7 +85,7 @@
             known = None
         if known:
             self.core.listed(known)
-        connections = config.sockets - links - SPARE - OWN_DESCRIPTORS
+        connections = max(config.sockets - links - SPARE - OWN_DESCRIPTORS - MOST_ENDING, 1)
         self.server = HttpServer(*config.listen, self.front.handle, ServerLimits(
             connections=connections, head=1.5, body=1.0, write=5.0, message=Limits(16384, 65536), silent=2.0,
             crowd=config.sockets // 6,  # half of what clients may hold for requests
@@ -132,6 +133,7 @@
 
     def end(self) -> None:
         """Answer all that is held, now, and be gone."""
+        self.core.close()  # first: a request that is read while connections are ended is refused, not sent on
         self.server.stop_accepting()
         self.core.stop(0.0)
         self.server.stop(LAST_WRITES)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -23,6 +23,16 @@
     return hashlib.blake2b(part.encode(), digest_size=8).hexdigest()
 
 
+def until(true: Callable[[], object], what: str) -> None:
+    """Wait for a state that nothing tells of."""
+    pause = threading.Event()
+    for _ in range(int(PATIENCE / 0.005)):
+        if true():
+            return
+        pause.wait(0.005)
+    raise AssertionError(f"never: {what}")
+
+
 class Part(NamedTuple):
     id: str
     shard: int
@@ -211,19 +221,23 @@
 
     def __init__(
         self, folder: Path, *replicas: Replica, sockets: int = 256, settings: Any = SETTINGS,
+        where: tuple[str, int] | None = None,
     ) -> None:
+        """`where`: of a discovery that the test plays itself."""
         self.replicas = replicas or (Replica(0), Replica(0))
         self.discovery = Discovery([host(r) for r in self.replicas])
         self.path, self.settings, self.sockets = folder / "config.json", settings, sockets
-        self.configure(self.discovery)
+        self.configure(self.discovery if where is None else f"{where[0]}:{where[1]}")
         self.node = Node(self.path, configuration.read(self.path))
         self.node.start()
-        self.discovery.watches.wait()
+        if where is None:
+            self.discovery.watches.wait()
 
-    def configure(self, discovery: Discovery) -> None:
+    def configure(self, discovery: Discovery | str) -> None:
+        address = discovery if isinstance(discovery, str) else discovery.address
         known = {"seq": 0, "whole": True, "hosts": [host(r) for r in self.replicas]}
         self.path.write_text(json.dumps({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "5",
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": address, "seed": "5",
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets}, "known": known,
             "settings": self.settings,
         }))
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,457 @@
+"""Client connections where two events cross: requests, the end of their connection, their client's leaving.
+
+Each order is forced: a hook holds the thread that waits for connections, the decision thread or a front until
+the other event has happened.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gingervane.coordinator.core import Admission, Core
+from gingervane.fronts import connections as connections_module
+from gingervane.fronts.connections import LINGER_BYTES, MOST_ENDING, After, Connection, Connections, _unread
+from platform_standins import (
+    PATIENCE,
+    SETTINGS,
+    Part,
+    Platform,
+    Replica,
+    Waiter,
+    Wire,
+    query,
+    reply,
+    until,
+)
+
+
+class Held:
+    """A function of the node that waits, once it is entered, until it is let go."""
+
+    def __init__(self, patch: pytest.MonkeyPatch, owner: type, name: str, after: bool = False) -> None:
+        self.entered, self.go = threading.Event(), threading.Event()
+        self.armed = False
+        function: Callable[..., Any] = getattr(owner, name)
+
+        def held(*args: Any, **kwargs: Any) -> Any:
+            found = function(*args, **kwargs) if after else None
+            if self.armed:
+                self.entered.set()
+                self.go.wait(PATIENCE)
+            return found if after else function(*args, **kwargs)
+
+        patch.setattr(owner, name, held)
+
+    def hold(self) -> None:
+        self.armed = True
+
+    def let_go(self) -> None:
+        self.armed = False
+        self.go.set()
+
+
+@pytest.fixture
+def looking(monkeypatch: pytest.MonkeyPatch) -> Iterator[Held]:
+    """The thread that sees what happens on connections."""
+    held = Held(monkeypatch, Connections, "_seen")
+    yield held
+    held.let_go()
+
+
+@pytest.fixture
+def platform(tmp_path: Path) -> Iterator[Platform]:
+    made = Platform(tmp_path)
+    yield made
+    made.close()
+
+
+def connections_of(platform: Platform) -> Connections:
+    return platform.node.server._connections
+
+
+def lies_unread(platform: Platform) -> bool:
+    """Something lies unread on a connection at rest."""
+    connections = connections_of(platform)
+    with connections._lock:
+        return any(_unread(one.sock) for one in [*connections._quiet, *connections._silent])
+
+
+def rested(platform: Platform) -> socket.socket:
+    """A client whose connection rests after a request."""
+    sock = platform.client()
+    assert platform.ask("first", {0: 1.0}, sock=sock)[0] == 200
+    until(lambda: len(connections_of(platform)._quiet) == 1, "its connection rests")
+    return sock
+
+
+def asked(platform: Platform) -> list[str]:
+    return [part.id for replica in platform.replicas for part in replica.parts.items]
+
+
+def ends_cleanly(sock: socket.socket) -> None:
+    """The end, and no reset, which could have taken an answer with it."""
+    sock.settimeout(PATIENCE)
+    assert sock.recv(1) == b""
+
+
+def in_background(work: Callable[[], object]) -> threading.Thread:
+    thread = threading.Thread(target=work)
+    thread.start()
+    return thread
+
+
+# ---- a request, and the end of its connection
+
+
+def test_a_request_that_lies_unread_as_its_connection_is_to_end_is_served(
+    platform: Platform, looking: Held,
+) -> None:
+    """Our receiving side was shut before: the kernel then reports what looks like a client that left."""
+    sock = rested(platform)
+    looking.hold()
+    sock.sendall(query("q", {0: 1.0}))
+    until(lambda: lies_unread(platform), "the request lies unread")
+    platform.node.server.wind_down()
+    looking.let_go()
+    status, fields, _ = reply(sock)
+    assert status == 200 and fields["connection"] == "close"
+    ends_cleanly(sock)
+    sock.close()
+
+
+def test_a_request_that_comes_after_the_end_of_its_connection_reaches_nobody(platform: Platform) -> None:
+    sock = rested(platform)
+    platform.node.server.wind_down()
+    sock.sendall(query("q", {0: 1.0}))  # it has not looked for the end yet
+    ends_cleanly(sock)
+    assert asked(platform) == ["first.0"]
+    sock.close()
+
+
+def test_the_end_comes_between_a_request_s_first_and_last_byte(platform: Platform) -> None:
+    whole, sock = query("q", {0: 1.0}), platform.client()
+    sock.sendall(whole[:50])
+    until(lambda: not connections_of(platform)._silent, "the request has begun")
+    ending = in_background(platform.node.end)
+    until(lambda: connections_of(platform).winding_down, "the end has begun")
+    sock.sendall(whole[50:])
+    status, fields, _ = reply(sock)
+    assert status == 503 and fields["connection"] == "close" and not asked(platform)
+    ends_cleanly(sock)
+    ending.join()
+    sock.close()
+
+
+def test_a_request_that_is_read_while_connections_are_ended_is_refused(
+    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    sock, heard = platform.client(), Waiter()
+    wind_down = Connections.wind_down
+
+    def after_a_request(self: Connections) -> None:
+        sock.sendall(query("q", {0: 1.0}))
+        heard.put(reply(sock)[0])
+        wind_down(self)
+
+    monkeypatch.setattr(Connections, "wind_down", after_a_request)
+    platform.node.end()
+    assert heard.items == [503] and not asked(platform)
+    sock.close()
+
+
+def test_a_connection_that_nobody_has_taken_yet_is_served_at_the_end(
+    platform: Platform, looking: Held,
+) -> None:
+    """Closing the listener would reset it, and the request that was written to it would be lost."""
+    waiting = rested(platform)
+    looking.hold()
+    waiting.sendall(query("held", {0: 1.0}))
+    looking.entered.wait(PATIENCE)  # from here on nobody takes connections
+    sock = platform.client()
+    sock.sendall(query("q", {0: 1.0}))
+    platform.node.server.stop_accepting()
+    looking.let_go()
+    assert reply(sock)[0] == reply(waiting)[0] == 200
+    for one in (sock, waiting):
+        ends_cleanly(one)
+        one.close()
+
+
+def test_a_query_that_was_admitted_as_the_end_came_is_settled(
+    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was put into the inbox of a decision thread that had ended, and its client waited for ever."""
+    entering = Held(monkeypatch, Admission, "enter", after=True)
+    closing = Held(monkeypatch, Core, "close")
+    closing.go.set()
+    entering.hold()
+    closing.hold()
+    sock = platform.client()
+    sock.sendall(query("q", {0: 1.0}))
+    assert entering.entered.wait(PATIENCE)
+    ending = in_background(platform.node.end)
+    assert closing.entered.wait(PATIENCE)
+    entering.let_go()
+    assert reply(sock)[0] in (200, 503)
+    ending.join()
+    sock.close()
+
+
+def test_a_query_that_waits_for_the_decision_thread_as_the_end_comes_is_refused_and_not_sent(
+    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    turning = Held(monkeypatch, Core, "_turn")
+    turning.hold()
+    assert turning.entered.wait(PATIENCE)
+    sock = platform.client()
+    sock.sendall(query("q", {0: 1.0}))
+    until(lambda: platform.node.core.admission.open, "the query is in the inbox")
+    ending = in_background(platform.node.end)
+    until(lambda: platform.node.core._stop.is_set(), "the end lies behind it")
+    turning.let_go()
+    status, fields, _ = reply(sock)
+    assert status == 503 and fields["connection"] == "close"
+    ending.join()
+    assert not asked(platform)
+    sock.close()
+
+
+def test_a_reply_written_as_the_server_winds_down_ends_its_connection(platform: Platform) -> None:
+    """Winding down comes after it was decided that the connection stays: nobody would end it any more."""
+    sock, connections = platform.client(), connections_of(platform)
+    release = connections._release
+
+    def after_winding_down(one: Connection, after: After) -> None:
+        platform.node.server.wind_down()
+        release(one, after)
+
+    connections._release = after_winding_down  # type: ignore[method-assign]
+    status, fields, _ = platform.ask("q", {0: 1.0}, sock=sock)
+    assert status == 200 and "connection" not in fields
+    ends_cleanly(sock)
+    sock.close()
+
+
+def test_a_reply_half_written_to_a_slow_reader_at_the_end_comes_whole(tmp_path: Path) -> None:
+    shards = 600
+    extra = SETTINGS["Extra"] | {"Shards": shards}
+    platform = Platform(tmp_path, settings=SETTINGS | {"Extra": extra})
+    listener = connections_of(platform)._listener
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    sock.settimeout(PATIENCE)
+    sock.connect(platform.node.server.address)
+    sock.sendall(query("q", dict.fromkeys(range(shards), 1 / shards)))
+    until(lambda: platform.node.core.admission.held_bytes, "the answer is being written")
+    ending = in_background(platform.node.end)
+    until(lambda: connections_of(platform).winding_down, "the end has begun")
+    status, _, body = reply(sock)
+    assert status == 200 and len(body["pieces"]) == shards
+    ending.join()
+    sock.close()
+    platform.close()
+
+
+# ---- closing over bytes that lie unread
+
+
+def test_bytes_behind_the_last_request_do_not_reset_its_reply(platform: Platform) -> None:
+    sock = platform.client()
+    closes = query("q", {0: 1.0}).replace(b"Host: x\r\n", b"Host: x\r\nConnection: close\r\n")
+    sock.sendall(closes + b"x" * 200_000)
+    assert reply(sock)[0] == 200
+    ends_cleanly(sock)
+    sock.close()
+
+
+def test_a_client_past_the_bound_hears_so_whatever_it_has_sent(tmp_path: Path, looking: Held) -> None:
+    platform = Platform(tmp_path, sockets=64)
+    held = []
+    for number in range(8):  # each rests, too short a time to be sent away
+        held.append(platform.client())
+        assert platform.ask(f"q{number}", {0: 1.0}, sock=held[-1])[0] == 200
+    until(lambda: len(connections_of(platform)._quiet) == 8, "all rest")
+    looking.hold()
+    held[0].sendall(query("held", {0: 1.0}))
+    assert looking.entered.wait(PATIENCE)  # from here on nobody takes connections
+    late = [platform.client() for _ in range(40)]
+    for number, sock in enumerate(late):
+        sock.sendall(query(f"late{number}", {0: 1.0}))
+    looking.let_go()
+    found = [reply(sock)[0] for sock in late]
+    assert set(found) == {200, 503} and found.count(503) > 2 * MOST_ENDING
+    for sock, status in zip(late, found, strict=True):
+        if status == 503:
+            ends_cleanly(sock)
+    for sock in [*held, *late]:
+        sock.close()
+    platform.close()
+
+
+def test_what_ends_is_bounded_in_bytes_and_in_number(platform: Platform) -> None:
+    connections = connections_of(platform)
+    flood = platform.client()
+    flood.settimeout(PATIENCE)
+    flood.sendall(b"no HTTP\r\n\r\n")
+    with pytest.raises(ConnectionError):  # over the bound in bytes it is closed over what is left
+        for _ in range(LINGER_BYTES // 65536 * 200):
+            flood.sendall(b"x" * 65536)
+    crowd = [platform.client() for _ in range(3 * MOST_ENDING)]
+    for sock in crowd:
+        sock.sendall(b"no HTTP\r\n\r\n")
+    for sock in crowd:
+        assert reply(sock)[0] == 400
+        assert len(connections._ending) <= MOST_ENDING + 1
+    assert platform.ask("q", {0: 1.0})[0] == 200
+    for sock in [flood, *crowd]:
+        sock.close()
+
+
+# ---- leaving
+
+
+def closes(sock: socket.socket) -> None:
+    sock.close()
+
+
+def resets(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def closes_behind_bytes(sock: socket.socket) -> None:
+    sock.sendall(query("behind", {1: 1.0}))
+    sock.close()
+
+
+def shuts_its_side(sock: socket.socket) -> None:
+    sock.shutdown(socket.SHUT_WR)
+
+
+LEAVING = [closes, resets, closes_behind_bytes, shuts_its_side]
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+def test_a_client_that_leaves_with_a_part_out(tmp_path: Path, leave: Callable[[socket.socket], None]) -> None:
+    silent = Replica(0, lambda wire, part: None)
+    platform = Platform(tmp_path, silent)
+    sock = platform.client()
+    sock.sendall(query("q", {0: 1.0}))
+    silent.parts.wait(1, lambda part: part.id == "q.0")
+    leave(sock)
+    assert silent.cancels.wait() == ["q.0"]
+    until(lambda: not connections_of(platform)._open, "its connection is gone")
+    assert asked(platform) == ["q.0"], "what came behind it is nobody's any more"
+    sock.close()
+    platform.close()
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+def test_a_client_that_left_before_its_request_was_read(
+    platform: Platform, looking: Held, leave: Callable[[socket.socket], None],
+) -> None:
+    sock = rested(platform)
+    looking.hold()
+    sock.sendall(query("q", {0: 1.0}))
+    until(lambda: lies_unread(platform), "the request lies unread")
+    leave(sock)
+    looking.let_go()
+    until(lambda: not connections_of(platform)._open, "its connection is gone")
+    assert platform.ask("after", {0: 1.0})[0] == 200
+    assert asked(platform) == ["first.0", "after.0"]
+    sock.close()
+
+
+def test_a_client_that_left_while_it_waited_for_the_decision_thread(
+    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    turning = Held(monkeypatch, Core, "_turn")
+    left, leave = Waiter(), Core.left
+
+    def note(self: Core, number: int) -> None:
+        leave(self, number)
+        left.put(number)
+
+    monkeypatch.setattr(Core, "left", note)
+    turning.hold()
+    assert turning.entered.wait(PATIENCE)
+    sock = platform.client()
+    sock.sendall(query("q", {0: 1.0}))
+    until(lambda: platform.node.core.admission.open, "the query is in the inbox")
+    sock.close()
+    left.wait()
+    turning.let_go()
+    assert platform.ask("after", {0: 1.0})[0] == 200
+    assert asked(platform) == ["after.0"]
+
+
+def test_a_client_s_leaving_is_looked_for_again_after_news_that_was_none(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each piece of news comes once; one that proved to be none left its connection unwatched."""
+    silent, has_left, asks = Replica(0, lambda wire, part: None), connections_module.has_left, Waiter()
+
+    def not_at_first(sock: socket.socket) -> bool:
+        asks.put(sock)
+        return len(asks.items) > 1 and has_left(sock)
+
+    platform = Platform(tmp_path, silent)
+    sock = platform.client()
+    sock.sendall(query("q", {0: 1.0}))
+    silent.parts.wait()
+    monkeypatch.setattr(connections_module, "has_left", not_at_first)
+    sock.close()
+    assert silent.cancels.wait() == ["q.0"] and len(asks.items) == 2
+    platform.close()
+
+
+def test_a_client_that_leaves_as_its_reply_is_written_harms_nobody(platform: Platform) -> None:
+    left = [platform.client() for _ in range(30)]
+    for number, sock in enumerate(left):
+        sock.sendall(query(f"q{number}", {0: 1.0}))
+        sock.close()
+    until(lambda: not connections_of(platform)._open, "all are gone")
+    until(lambda: not platform.node.core.admission.open, "nothing is held for them")
+    assert platform.ask("after", {0: 1.0})[0] == 200
+
+
+# ---- room
+
+
+def test_descriptors_add_up_to_the_limit(tmp_path: Path) -> None:
+    """Clients, those at their end, links, links at their end and the node's own are all that there can be."""
+    from gingervane.node.links import SPARE, Links
+    from gingervane.node.service import OWN_DESCRIPTORS
+
+    for sockets in (256, 1024, 4096):
+        platform = Platform(tmp_path, sockets=sockets)
+        links = platform.node.core._senders
+        assert isinstance(links, Links)
+        clients = connections_of(platform)._bounds.connections + MOST_ENDING
+        assert clients + links._limits.links + SPARE + OWN_DESCRIPTORS == sockets
+        platform.close()
+
+
+def test_settled_queries_leave_no_thread_behind(tmp_path: Path) -> None:
+    """Threads are made by need: connections at rest hold none."""
+    def behave(wire: Wire, part: Part) -> None:
+        wire.answer(part.id)
+
+    platform = Platform(tmp_path, Replica(0, behave), sockets=512)
+    before = set(threading.enumerate())
+    socks = [platform.client() for _ in range(100)]
+    for number, sock in enumerate(socks):
+        assert platform.ask(f"q{number}", {0: 1.0}, sock=sock)[0] == 200
+    workers = [thread for thread in threading.enumerate() if thread.name == "client" and thread not in before]
+    assert 0 < len(workers) < 10
+    for sock in socks:
+        sock.close()
+    platform.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,7 +8,7 @@
 import json
 import socket
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -18,23 +18,13 @@
 from gingervane.node import links as links_module
 from gingervane.node.links import Links, _Link
 from gingervane.node.service import Lines
-from platform_standins import PATIENCE, SETTINGS, Platform, Replica, Waiter, query, request
+from platform_standins import PATIENCE, SETTINGS, Platform, Replica, Waiter, query, request, until
 
 
 def with_limits(**changes: object) -> dict[str, Any]:
     return SETTINGS | {"Limits": SETTINGS["Limits"] | changes}
 
 
-def until(true: Callable[[], object], what: str) -> None:
-    """Wait for a state that nothing tells of."""
-    pause = threading.Event()
-    for _ in range(int(PATIENCE / 0.005)):
-        if true():
-            return
-        pause.wait(0.005)
-    raise AssertionError(f"never: {what}")
-
-
 @pytest.fixture
 def settled(monkeypatch: pytest.MonkeyPatch) -> Waiter:
     """Ids and verdicts of queries as the decision thread settles them."""
