A late answer spoils no connection; no descriptor left is no reason to stop deciding

Need: rules must hold where an answer crosses its part's time, and where idle clients have taken the descriptors.

Cause: `_Link._has_place` forgot a withdrawn part once its time was up, to give its place to another; an answer later than that was 'not out', which ends the connection: the other part got RESET in the forced test. And `Links.start` made a socket on the decision thread with nothing to catch EMFILE: "the decision thread broke", 500 for the query and all after it.

Change: ids of up to 1,024 such parts are kept; a socket that cannot be made is no room. Measured: both new tests fail without the change (RESET in place of OK, 500 in place of 503) and pass with it.

--- a/gingervane/node/links.py
+++ b/gingervane/node/links.py
@@ -31,6 +31,7 @@
 from gingervane.wire.tap import TAP
 
 _READ = 65536
+_MOST_PAST = 1024  # ids
 _OUTCOMES = {"served": Outcome.OK, "broke": Outcome.ERROR, "skipped": Outcome.REJECTED}
 SPARE = 8  # descriptors of links on their way out, beyond `LinkLimits.links`
 
@@ -83,6 +84,7 @@
         self.number = self.sock.fileno()
         self.out: dict[str, _Out] = {}
         self._gone: dict[str, float] = {}  # withdrawn and perhaps still answered -> when that ends
+        self._past = deque[str](maxlen=_MOST_PAST)  # withdrawn, and past that time
         self._pending: deque[t.Call | bytes] = deque()
         self._rest = b""
         self._half: set[str] = set()  # parts of the frame that `_rest` ends
@@ -104,6 +106,9 @@
         past the streams of a connection a part lies unread, and arrives when its query is long answered."""
         if len(self.out) + len(self._gone) + parts > self._limits.streams:
             with self._lock:
+                # Their places are free again. Guards against an answer that comes later still and would pass for
+                # spoilt: all that is out here would end with it.
+                self._past.extend(part for part, until in self._gone.items() if until <= now)
                 self._gone = {part: until for part, until in self._gone.items() if until > now}
         return len(self.out) + len(self._gone) + parts <= self._limits.streams
 
@@ -291,7 +296,7 @@
         answer = frames.read_answer(rest)
         with self._lock:
             held = self.out.pop(answer.id, None)
-            known = held is not None or self._gone.pop(answer.id, None) is not None
+            known = held or self._gone.pop(answer.id, None) is not None or answer.id in self._past
         if TAP.on:
             self._trace("answer", part=answer.id, end=answer.end, waited=held is not None)
         if not known:
@@ -394,7 +399,10 @@
                 return True
         if self.count >= self._limits.links and not self._make_room(now):
             return False
-        link = _Link(call.address, self._limits, self._report, self._check, self._wake, self._poll)
+        try:
+            link = _Link(call.address, self._limits, self._report, self._check, self._wake, self._poll)
+        except OSError:  # out of descriptors: no reason for the decision thread to end
+            return False
         self._links.setdefault(call.address, []).append(link)
         self._by_number[link.number] = link
         link.start(call, now)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,7 @@
 import json
 import socket
 import threading
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -15,10 +16,14 @@
 import pytest
 
 from gingervane.coordinator import types as t
+from gingervane.interface import Outcome, Semantics
 from gingervane.node import links as links_module
-from gingervane.node.links import Links, _Link
+from gingervane.node.links import FrameTravel, LinkLimits, Links, _Link
 from gingervane.node.service import Lines
-from platform_standins import PATIENCE, SETTINGS, Platform, Replica, Waiter, query, request, until
+from gingervane.wire.frames import Asked
+from platform_standins import (
+    PATIENCE, SETTINGS, Platform, Replica, Waiter, answer, query, request, until,
+)
 
 
 def with_limits(**changes: object) -> dict[str, Any]:
@@ -62,6 +67,48 @@
     return [part.id for replica in replicas for part in replica.parts.items]
 
 
+def test_an_answer_that_comes_after_its_part_s_time_spoils_nothing(tmp_path: Path) -> None:
+    """Its place on the connection has been given to another part by then, which ended with the connection."""
+    replica, told = Replica(0, lambda wire, part: None), Waiter()
+    links = Links(LinkLimits(streams=1, links=4, idle=PATIENCE, connect=PATIENCE), told.put)
+    where = "127.0.0.1", replica.port
+
+    def asked(number: int, name: str) -> t.Call:
+        errand = t.Errand(number, 0, Asked(name, 0, "", b"x"), Semantics.SAFE)
+        call = t.Call(number, 1, where, FrameTravel(), [errand], time.monotonic())
+        assert links.start(call)
+        while len(replica.parts.items) < number:
+            until(lambda: links._ready or len(replica.parts.items) == number, "the connection is up")
+            links.tend()
+        return call
+
+    first = asked(1, "a.0")
+    links.withdraw(first, first.errands[0], True)
+    asked(2, "b.0")
+    assert len(replica.wires) == 1
+    replica.wires[0].raw(answer("a.0") + answer("b.0"))
+    (ended,) = told.wait(1, bool)[0]
+    assert (ended.part, ended.outcome) == (2, Outcome.OK)
+    links.close()
+    replica.close()
+
+
+def test_out_of_descriptors_a_part_ends_unsent_and_nothing_else_does(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The decision thread broke, and with it every query after."""
+    platform = Platform(tmp_path, Replica(0))
+
+    def none_left(self: _Link, *args: object) -> None:
+        raise OSError(24, "Too many open files")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(_Link, "__init__", none_left)
+        assert platform.ask("q", {0: 1.0}, "/book", wait=500)[0] == 503
+    assert platform.ask("after", {0: 1.0})[0] == 200
+    platform.close()
+
+
 # ---- a part that waits, and the end of its query
 
 
