A silent watch is found at any stage; older lists bring nothing back; one pause at a time

Need: a change counts as told 6 s after discovery had it and could be reached.

Cause, read in `Watch._follow` and forced by a discovery that writes byte for byte what a test says: - connect, head and first line each had 3 s of their own, and each byte began them anew: drops without a line held a watch for ever; - `ListReader.read` took any whole list, also an older one behind a newer change on the same watch, which brings back replicas that drain; - a wish to follow that came during a watch outlived it, so that its end was followed by a call without a pause; and each failure told was one more call, so that those of a move and of the pause before it added up; - the socket was known before its connect began, so a move in that instant found nothing to shut and waited up to 3 s; - an answer without a length was refused, and a DELETED entry needed an address. Ruled out: the list of the old address read after a move (one thread reads both, the new list comes later); two moves in a row; no descriptor for the call (a failure like any other).

Change: one time for all up to the first line, and for each line after it; a whole list may be older only as the first of a watch; one failure is told for each wish; the connect is begun before it is waited for; any framing, a reset is no end.

--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -1,14 +1,21 @@
 """The replica list from discovery: one watch, followed while the module wants one.
 
 Owners: one thread connects, reads and tells the core. `follow` (the decision thread, as the module subscribes) and
-`move` (the main thread, on a new configuration) only set what it looks at and wake it. Entries that cannot be read
-are skipped with a line in the log; what stands stays in force.
+`move` (the main thread, on a new configuration) only set what it looks at and wake it, under `_change`. Entries that
+cannot be read are skipped with a line in the log; what stands stays in force.
+
+What a silent watch misses counts as told 6 s after it fell silent, and any change so long after discovery could be
+reached (STANDING.md, the acceptance's terms). So a call has `SILENCE` for everything up to its first line, and each
+line has as much; bytes that end no line do not count. The module's pause between calls leaves room for that.
 """
 
 from __future__ import annotations
 
 import contextlib
+import errno
 import hashlib
+import os
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -47,15 +54,19 @@
         self._zones, self._offset, self._log = zones, clock_offset, log
         self.version = 0
 
-    def read(self, data: Any, cached: bool = False) -> t.Listed | None:
-        """A list or its changes; None for one that is older than what is held. Raises ListError."""
+    def read(self, data: Any, cached: bool = False, anew: bool = False) -> t.Listed | None:
+        """A list or its changes; None for one that is older than what is held. Raises ListError.
+
+        `anew`: the first that a watch brings. A whole list may be older there, where discovery counts anew; behind a
+        newer change it would bring back replicas that drain.
+        """
         try:
             version, whole, hosts = int(data["seq"]), bool(data["whole"]), data["hosts"]
         except (TypeError, KeyError, ValueError):
             raise ListError("discovery: not a list with seq, whole and hosts") from None
         if not isinstance(hosts, list):
             raise ListError("discovery: hosts is no list")
-        if not whole and version <= self.version:
+        if version < self.version and not (whole and anew) or version == self.version and not whole:
             return None
         self.version = version
         replicas, addresses = [], {}
@@ -66,11 +77,16 @@
                 self._log(f"discovery: entry skipped: {type(error).__name__}: {error}: {str(entry)[:200]}")
                 continue
             replicas.append(replica)
-            addresses[replica.id] = where
+            if where:
+                addresses[replica.id] = where
         kind = api.ListKind.CACHED if cached else api.ListKind.FULL if whole else api.ListKind.DELTA
         return t.Listed(api.MembershipChanged(kind, tuple(replicas)), addresses)
 
-    def _entry(self, entry: Any) -> tuple[api.Replica, Address]:
+    def _entry(self, entry: Any) -> tuple[api.Replica, Address | None]:
+        if not isinstance(entry, dict):
+            raise TypeError("no object")
+        if entry.get("health") == "DELETED":  # its name says all: nothing else of it may keep it listed
+            return api.Replica(replica_id(str(entry["host"])), 0, -1, 0.0, api.ReplicaState.GONE, 0.0), None
         host, _, port = str(entry["dial"]).rpartition(":")
         born = float(entry.get("born_ms", 0))
         if not host or not 0 < int(port) < 65536:
@@ -94,6 +110,8 @@
         self._where, self._reader, self._tell, self._log = where, reader, tell, log
         self._change = Condition()
         self._wanted = self._moved = self._stopped = False
+        self._calling = False  # a call is under way, or its watch
+        self._owed = False  # the module has been told of a failure and will say when to call again
         self._sock: socket.socket | None = None
 
     def start(self) -> None:
@@ -102,11 +120,13 @@
     def follow(self) -> None:
         """The module wants changes pushed."""
         with self._change:
-            self._wanted = True
+            self._owed = False
+            # Guards against a wish that outlives its call: the next failure would be answered without any pause.
+            self._wanted = not self._calling
             self._change.notify()
 
     def move(self, where: Address) -> None:
-        """Discovery is at another address from now on."""
+        """Discovery is at another address from now on; no pause that runs is waited for."""
         with self._change:
             if where == self._where:
                 return
@@ -136,55 +156,85 @@
                     # Guards against changes dropped for good: there the versions may be others. All is asked for.
                     self._reader.version = 0
                 self._wanted = self._moved = False
-                where = self._where
+                self._calling, where = True, self._where
             try:
                 self._follow(where)
             except (OSError, HttpError, Closed, ListError, TooLong) as error:
-                with self._change:
-                    moved = self._moved
-                if not moved:  # the module says when to ask again
-                    self._log(f"discovery: watch at {where[0]}:{where[1]} ended: {error}")
-                    self._tell(t.Listed(api.MembershipChanged(api.ListKind.FAILED, ()), {}))
+                what = str(error) or type(error).__name__
+            with self._change:
+                self._calling = False
+                if self._moved or self._stopped:
+                    continue
+                owed, self._owed = self._owed, True
+            self._log(f"discovery: watch at {where[0]}:{where[1]} ended: {what}")
+            if not owed:  # the module says when to ask again; one pause at a time, so that calls do not add up
+                self._tell(t.Listed(api.MembershipChanged(api.ListKind.FAILED, ()), {}))
 
     def _follow(self, where: Address) -> None:
+        """One call and its watch, to their end, which is an error whatever it is."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        line_by = time.monotonic() + SILENCE
+
+        def left() -> float:
+            if (seconds := line_by - time.monotonic()) <= 0:
+                raise TimeoutError("it fell silent")
+            return seconds
+
+        def receive(most: int) -> bytes:
+            sock.settimeout(left())
+            return sock.recv(most)
+
         try:
-            # Known before it is up: a move must not wait for an address that says nothing.
+            sock.setblocking(False)
+            code = sock.connect_ex(where)
+            # Known once it connects, which is not waited for before: a move that comes now finds something to shut.
             with self._change:
                 if self._moved or self._stopped:
                     return
                 self._sock = sock
-            sock.settimeout(SILENCE)
-            sock.connect(where)
+            self._await(sock, code, left())
+            sock.settimeout(left())
             target = f"/v1/endpoints?follow=1&since={self._reader.version}"
             sock.sendall(http1.head(f"GET {target} HTTP/1.1", [("Host", f"{where[0]}:{where[1]}")]))
-            reader = Reader(sock.recv, Limits(body=_MOST_VALUE))  # each wait is bounded by SILENCE
+            reader = Reader(receive, Limits(body=_MOST_VALUE))
             reply = reader.response()
-            if reply.status != 200 or not reply.headers.all("transfer-encoding"):
+            if reply.status != 200:
                 raise ListError(f"discovery: answered {reply.status} to a watch")
-            self._lists(reader)
+            values, anew = JsonValues(_MOST_VALUE), True  # lists may come indented
+            for data in reader.pieces(reply.headers):
+                if b"\n" in data:
+                    line_by = time.monotonic() + SILENCE
+                for value, sound in values.feed(data):
+                    anew = not self._take(value, sound, anew) and anew
+            raise Closed(clean=True)
         finally:
             with self._change:
                 self._sock = None
             sock.close()
 
-    def _lists(self, reader: Reader) -> None:
-        values = JsonValues(_MOST_VALUE)  # lists may come indented
-        while data := reader.chunk():
-            for value, sound in values.feed(data):
-                self._take(value, sound)
-        raise Closed(clean=True)
-
-    def _take(self, value: bytes, sound: bool) -> None:
+    def _await(self, sock: socket.socket, code: int, seconds: float) -> None:
+        """Wait for a connection that is being made."""
+        if code == errno.EINPROGRESS:
+            poll = select.poll()
+            poll.register(sock, select.POLLOUT)
+            if not poll.poll(seconds * 1000):
+                raise TimeoutError("connecting: timed out")
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, os.strerror(code))
+
+    def _take(self, value: bytes, sound: bool, anew: bool) -> bool:
+        """Whether it was a list that could be read."""
         try:
             if not sound:
                 raise ListError(f"no JSON value: {value[:100]!r}")
-            listed = self._reader.read(orjson.loads(value))
+            listed = self._reader.read(orjson.loads(value), anew=anew)
         except (orjson.JSONDecodeError, ListError) as error:
             self._log(f"discovery: value skipped: {error}")
-            return
+            return False
         if listed:
             self._tell(listed)
+        return True
 
 
 def clock_offset() -> float:
--- a/gingervane/wire/http1.py
+++ b/gingervane/wire/http1.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
@@ -207,6 +207,25 @@
         self.buffer.clear()
         return out
 
+    def pieces(self, headers: Headers) -> Iterator[bytes]:
+        """The body of a response as it comes, however framed. One without a length ends as its connection is closed;
+        a reset is no end, and raises OSError as anywhere."""
+        if headers.all("transfer-encoding"):
+            while data := self.chunk():
+                yield data
+            return
+        lengths = headers.all("content-length")
+        left = int(lengths[0]) if lengths else None
+        while left is None or left > 0:
+            if not self.buffer and not self._more():
+                if left is None:
+                    return
+                raise Closed(clean=False)
+            data = bytes(self.buffer[:left])
+            del self.buffer[: len(data)]
+            left = None if left is None else left - len(data)
+            yield data
+
     def _chunked(self) -> bytes:
         out, index = bytearray(), 1
         while data := self.chunk(f"chunk {index}", len(out)):
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,309 @@
+"""The watch on discovery where two events cross: silence at each of its stages, moves, pauses and old news.
+
+The stand-in writes byte for byte what a test says, and nothing else.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gingervane import interface as api
+from gingervane.coordinator import types as t
+from gingervane.node import discovery
+from gingervane.node.discovery import ListReader, Watch
+from platform_standins import PATIENCE, SETTINGS, Platform, Replica, Waiter, host, until
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+NO_LENGTH = b"HTTP/1.1 200 OK\r\n\r\n"
+
+
+class Calls:
+    """A discovery: its calls in the order in which they come, each with its socket and what it asked for."""
+
+    def __init__(self) -> None:
+        self.calls = Waiter()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.where: tuple[str, int] = self._listener.getsockname()[:2]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                if head := sock.recv(4096).decode():
+                    self.calls.put((sock, head.split(" ")[1]))
+
+    def sock(self, number: int) -> socket.socket:
+        """The number-th call's, the first being 1."""
+        found: socket.socket = self.calls.wait(number)[number - 1][0]
+        return found
+
+    def close(self) -> None:
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for sock, _ in self.calls.items:
+            sock.close()
+
+
+def entry(health: str = "SERVING") -> dict[str, Any]:
+    return {
+        "host": "s-1", "dial": "127.0.0.1:80", "site": "a", "class": "m", "block": 0, "health": health,
+        "share": 1.0, "born_ms": 0,
+    }
+
+
+def line(version: int, *hosts: dict[str, Any], whole: bool = True) -> bytes:
+    return json.dumps({"seq": version, "whole": whole, "hosts": list(hosts)}).encode() + b"\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class Watched:
+    """A watch with nothing behind it: what it tells, and the first two addresses that discovery has."""
+
+    def __init__(self) -> None:
+        self.told, self.log = Waiter(), Waiter()
+        self.here, self.there = Calls(), Calls()
+        reader = ListReader(("a",), 0.0, self.log.put)
+        self.watch = Watch(self.here.where, reader, self.told.put, self.log.put)
+        self.watch.start()
+        self.watch.follow()
+
+    def states(self) -> list[str]:
+        """What has been told, oldest first: 'failed', or the state of the one replica."""
+        kinds: list[t.Listed] = self.told.items
+        return [
+            "failed" if listed.event.kind is api.ListKind.FAILED else listed.event.replicas[0].state.name
+            for listed in kinds
+        ]
+
+    def close(self) -> None:
+        self.watch.stop()
+        self.here.close()
+        self.there.close()
+
+
+@pytest.fixture
+def watched(monkeypatch: pytest.MonkeyPatch) -> Iterator[Watched]:
+    monkeypatch.setattr(discovery, "SILENCE", 0.3)  # so that a test need not wait for the protocol's 3 s
+    made = Watched()
+    yield made
+    made.close()
+
+
+def drip(sock: socket.socket) -> None:
+    """Bytes that end no line, until nobody is there to take them."""
+    pause = threading.Event()
+    sock.sendall(HEAD)
+    with contextlib.suppress(OSError):
+        while True:
+            sock.sendall(b"1\r\n \r\n")
+            pause.wait(0.02)
+
+
+STAGES: dict[str, Callable[[socket.socket], None]] = {
+    "once connected": lambda sock: sock.sendall(b""),
+    "inside the head": lambda sock: sock.sendall(HEAD[:-7]),
+    "behind the head": lambda sock: sock.sendall(HEAD),
+    "inside a chunk": lambda sock: sock.sendall(HEAD + chunk(line(1, entry()))[:-20]),
+    "inside a value": lambda sock: sock.sendall(HEAD + chunk(line(1, entry())[:-20])),
+    "behind a line": lambda sock: sock.sendall(HEAD + chunk(b"\n")),
+    "with bytes that end no line": drip,
+    "where no length is given": lambda sock: sock.sendall(NO_LENGTH + line(1, entry())[:-20]),
+}
+
+
+@pytest.mark.parametrize("stage", STAGES)
+def test_a_watch_that_falls_silent_is_given_up_at_any_stage(watched: Watched, stage: str) -> None:
+    """Each wait was bounded by itself: connect, head and first line together took past the 6 s, and drops
+    without a line put the end off for ever."""
+    STAGES[stage](watched.here.sock(1))
+    watched.told.wait()
+    watched.watch.follow()
+    watched.here.sock(2).sendall(HEAD + chunk(line(2, entry("DRAINING"))))
+    watched.told.wait(2)
+    assert watched.states() == ["failed", "DRAINING"]
+
+
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_a_drain_made_while_the_watch_was_silent_is_kept(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, mode: str,
+) -> None:
+    monkeypatch.setattr(discovery, "SILENCE", 0.3)
+    calls, drains, stays = Calls(), Replica(0), Replica(0)
+    settings = SETTINGS | {"MembershipMode": mode}
+    platform = Platform(tmp_path, drains, stays, settings=settings, where=calls.where)
+    both = host(drains), host(stays)
+    calls.sock(1).sendall(HEAD + chunk(line(1, *both)))  # and not a word more
+    calls.sock(2).sendall(HEAD + chunk(line(2, host(drains, health="DRAINING"), whole=False)))
+    assert "since=1" in calls.calls.items[1][1]
+    until(lambda: platform.node.watch._reader.version == 2, "the drain is told")
+    before = len(drains.parts.items)
+    for number in range(10):
+        assert platform.ask(f"q{number}", {0: 1.0})[0] == 200
+    assert len(drains.parts.items) == before
+    calls.close()
+    platform.close()
+
+
+@pytest.mark.parametrize("framing", ["chunked", "no length", "a length"])
+def test_lists_come_in_any_framing(watched: Watched, framing: str) -> None:
+    data = line(1, entry())
+    watched.here.sock(1).sendall({
+        "chunked": HEAD + chunk(data), "no length": NO_LENGTH + data,
+        "a length": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(data) + data,
+    }[framing])
+    watched.told.wait()
+    assert watched.states()[0] == "READY"
+
+
+def test_a_reset_inside_a_list_of_no_length_is_no_end_of_it(watched: Watched) -> None:
+    first = watched.here.sock(1)
+    first.sendall(NO_LENGTH + line(1, entry("DRAINING"))[:-3])
+    until(lambda: watched.watch._sock is not None, "the call is under way")
+    first.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    first.close()
+    watched.told.wait()
+    assert watched.states() == ["failed"]
+
+
+def test_an_older_whole_list_behind_a_newer_change_brings_nothing_back(watched: Watched) -> None:
+    first = watched.here.sock(1)
+    first.sendall(HEAD + chunk(line(5, entry())) + chunk(line(7, entry("DRAINING"), whole=False)))
+    first.sendall(chunk(line(6, entry())) + chunk(line(8, entry("DRAINING"), whole=False)))
+    watched.told.wait(3)
+    assert watched.states() == ["READY", "DRAINING", "DRAINING"]
+    first.close()
+    watched.told.wait(4)
+    watched.watch.follow()
+    assert "since=8" in watched.here.calls.wait(2)[1][1]
+    watched.here.sock(2).sendall(HEAD + chunk(line(2, entry())))  # it counts anew, asked what came after 8
+    watched.told.wait(5)
+    assert watched.states()[3:] == ["failed", "READY"]
+
+
+def test_a_move_waits_for_no_pause_and_asks_for_all(watched: Watched) -> None:
+    watched.here.sock(1).sendall(HEAD + chunk(line(9, entry())))
+    watched.told.wait()
+    watched.here.sock(1).close()
+    watched.told.wait(2)  # the module's pause runs, and nobody ends it
+    watched.watch.move(watched.there.where)
+    assert watched.there.calls.wait()[0][1] == "/v1/endpoints?follow=1&since=0"
+    watched.there.sock(1).sendall(HEAD + chunk(line(1, entry("DRAINING"))))
+    watched.told.wait(3)
+    assert watched.states() == ["READY", "failed", "DRAINING"]
+
+
+def test_a_failure_at_the_new_address_is_told_once_while_a_pause_runs(watched: Watched) -> None:
+    """Each failure told is one more call to come: those of a move and of the pause before it would add up."""
+    watched.here.sock(1).close()
+    watched.told.wait()
+    watched.watch.move(watched.there.where)
+    watched.there.sock(1).sendall(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+    watched.log.wait(2)
+    assert watched.states() == ["failed"]
+    watched.watch.follow()  # as the first pause ends
+    watched.there.sock(2).sendall(HEAD + chunk(line(1, entry())))
+    watched.told.wait(2)
+    assert watched.states() == ["failed", "READY"]
+
+
+def test_a_wish_that_came_during_a_watch_does_not_outlive_it(watched: Watched) -> None:
+    """Its end would be followed by a call at once, of all co-ordinators in the same moment."""
+    watched.here.sock(1).sendall(HEAD + chunk(line(1, entry())))
+    watched.told.wait()
+    watched.watch.follow()
+    watched.here.sock(1).close()
+    watched.told.wait(2)
+    assert not watched.watch._wanted and len(watched.here.calls.items) == 1
+    watched.watch.follow()
+    watched.here.calls.wait(2)
+
+
+def test_two_moves_in_a_row_end_at_the_last_address(watched: Watched) -> None:
+    watched.here.sock(1).sendall(HEAD + chunk(line(9, entry())))
+    watched.told.wait()
+    watched.watch.move(watched.there.where)
+    watched.watch.move(watched.here.where)
+    watched.here.sock(2).sendall(HEAD + chunk(line(3, entry("DRAINING"))))
+    watched.told.wait(2)
+    assert watched.states() == ["READY", "DRAINING"]
+    assert watched.here.calls.items[1][1].endswith("since=0")
+
+
+def test_a_move_in_the_moment_of_connecting_does_not_wait_for_the_old_address(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    awaited, waits, go = Watch._await, threading.Event(), threading.Event()
+
+    def held(self: Watch, *args: Any) -> None:
+        if not waits.is_set():
+            waits.set()
+            go.wait(PATIENCE)
+        awaited(self, *args)
+
+    monkeypatch.setattr(Watch, "_await", held)
+    watched = Watched()
+    assert waits.wait(PATIENCE)
+    watched.watch.move(watched.there.where)
+    go.set()
+    watched.there.sock(1).sendall(HEAD + chunk(line(1, entry())))
+    watched.told.wait()
+    assert watched.states() == ["READY"]
+    watched.close()
+
+
+def test_the_list_of_the_old_address_read_after_a_move_is_followed_by_the_new_one(
+    watched: Watched, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    read, reads, go = ListReader.read, threading.Event(), threading.Event()
+
+    def held(self: ListReader, *args: Any, **kwargs: Any) -> t.Listed | None:
+        if not reads.is_set():
+            reads.set()
+            go.wait(PATIENCE)
+        return read(self, *args, **kwargs)
+
+    monkeypatch.setattr(ListReader, "read", held)
+    watched.here.sock(1).sendall(HEAD + chunk(line(50, entry())))
+    assert reads.wait(PATIENCE)
+    watched.watch.move(watched.there.where)
+    go.set()
+    watched.there.sock(1).sendall(HEAD + chunk(line(2, entry("DRAINING"))))
+    watched.there.sock(1).sendall(chunk(line(3, entry("DELETED"), whole=False)))
+    watched.told.wait(3)
+    assert watched.states() == ["READY", "DRAINING", "GONE"]
+
+
+def test_out_of_descriptors_is_a_failure_like_any_other(
+    watched: Watched, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    class NoneLeft:
+        """The module as the watch sees it; the stand-in goes on making sockets."""
+
+        def __getattr__(self, name: str) -> Any:
+            if name == "socket":
+                raise OSError(24, "Too many open files")
+            return getattr(socket, name)
+
+    monkeypatch.setattr(discovery, "socket", NoneLeft())
+    watched.here.sock(1).close()
+    watched.told.wait()
+    watched.watch.follow()
+    watched.told.wait(2)
+    monkeypatch.undo()
+    watched.watch.follow()
+    watched.here.sock(2).sendall(HEAD + chunk(line(1, entry())))
+    watched.told.wait(3)
+    assert watched.states() == ["failed", "failed", "READY"]
