Pauses between calls of discovery end within the 6 s in which a change counts as told

Change: 4/3 s, so that 1.5 times as much, 3 s of a hanging call before it and 1 s for an answer stay within 6 s. The test asked for growth and under 13 s; it now asks for growth on 20 seeds, spread, and at most 2.1 s. Measured: the module's tests.

--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -32,7 +32,9 @@
 BACKLOG, CROSSING = 0.35, 0.5  # of the time to the aim: age of the oldest call; calls that a crossing weighs
 PACED, PACE_FADES, SLOW = 3, 8.0, 2.5  # parts in a pace; its half-life, s; of peers' pace: left for them
 STALLED, EPSILON = 4, 1e-6  # batches' time that a timer may come late; of weights that the wire rounds
-ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 8.0  # seconds before a failed subscription is asked for again
+# Seconds before a failed subscription is asked for again: half as much again by its spread, a call that hung
+# for 3 s before it and the answer behind it stay within the 6 s after which what was missed counts as told.
+ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 4 / 3
 
 
 class _Count:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -351,17 +351,29 @@
     assert isinstance(host.ended[host.query(0)], api.Refuse)
 
 
-def test_subscribes_at_launch_and_again_after_failures_ever_more_slowly() -> None:
-    host = Host(BASE._replace(must_ask_membership=True))
-    assert host.log.count(api.Subscribe()) == 1
-    times = list[float]()
-    for _ in range(5):
-        host.members(ListKind.FAILED)
-        before = host.now
-        while not any(isinstance(a, api.Subscribe) for a in host.wait(0.05)):
-            assert host.now < before + 20
-        times.append(host.now - before)
-    assert times[-1] > times[0] and all(t < 13 for t in times)
+def test_subscribes_at_launch_and_again_after_failures_more_slowly_and_out_of_step() -> None:
+    """What was missed counts as told 6 s after discovery could be reached: a call may have hung 3 s by then,
+    and the next one's answer takes a while among many callers'."""
+    pauses = list[list[float]]()
+    for seed in range(20):
+        host = Host(BASE._replace(must_ask_membership=True), seed=seed)
+        assert host.log.count(api.Subscribe()) == 1
+        pauses.append([])
+        for _ in range(6):
+            host.members(ListKind.FAILED)
+            before = host.now
+            while not any(isinstance(a, api.Subscribe) for a in host.wait(0.01)):
+                assert host.now < before + 6
+            pauses[-1].append(host.now - before)
+    first, later = [times[0] for times in pauses], [pause for times in pauses for pause in times[1:]]
+    assert max(first + later) <= 6.0 - 3.0 - 0.9
+    assert sum(first) / len(first) < sum(later) / len(later), "more slowly"
+    assert max(first) - min(first) > 0.7 and max(later) - min(later) > 1.0, "out of step"
+    host.members(ListKind.FULL, *host.states.values())
+    host.members(ListKind.FAILED)
+    before = host.now
+    while not any(isinstance(a, api.Subscribe) for a in host.wait(0.01)):
+        assert host.now < before + 1.6, "after a list the pause is the first one's again"
 
 
 def test_a_failed_call_keeps_the_old_list() -> None:
