Classes and zones may have any name; an id with an underscore comes back from a replica

Cause: `/ready` and `/health` went before a class of that name, also for POST; path names were not percent-decoded; `flatten` joins lists by commas and the zones were split there again; `frames._LINE` knew no underscore, which `clients._ID` takes: each answer to such a request was 'spoilt' and ended its connection.

--- a/gingervane/node/clients.py
+++ b/gingervane/node/clients.py
@@ -9,6 +9,7 @@
 import re
 from threading import Lock
 from typing import Any
+from urllib.parse import unquote
 
 import orjson
 
@@ -28,7 +29,7 @@
 
 
 class ClientFront:
-    """Handles `POST /CLASS` and `GET /ready`."""
+    """Handles `POST /CLASS` and `GET /ready`. A class may have any name, those two words among them."""
 
     def __init__(self, core: Core, class_names: tuple[str, ...], shards: int) -> None:
         self._core, self._shards = core, shards
@@ -39,12 +40,13 @@
 
     def handle(self, request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
         path = request.target.partition("?")[0]
-        if path in ("/ready", "/health"):
+        word = unquote(path[1:].partition("/")[0])
+        if path in ("/ready", "/health") and (request.method != "POST" or word not in self._classes):
             if request.method not in ("GET", "HEAD"):
                 return plain(405, "only GET here", fields=(("Allow", "GET"),))
             return plain(200, "ready") if self.ready else plain(503, "not ready")
         try:
-            name, plan = self._read(request, path, body, arrived)
+            name, plan = self._read(request, word, body, arrived)
         except HttpError as error:
             return plain(error.status, error.what)
         if client.left():  # guards against sending on what lay unread when its client went
@@ -83,8 +85,8 @@
 
     # ---- reading
 
-    def _read(self, request: Request, path: str, body: bytes, arrived: float) -> tuple[str, t.QueryPlan]:
-        number = self._classes.get(path[1:].partition("/")[0])
+    def _read(self, request: Request, word: str, body: bytes, arrived: float) -> tuple[str, t.QueryPlan]:
+        number = self._classes.get(word)
         if number is None:
             raise HttpError(404, "path: no class of that name")
         if request.method != "POST":
--- a/gingervane/node/config.py
+++ b/gingervane/node/config.py
@@ -63,7 +63,7 @@
             peers_all=address(data, "peers_all") if data.get("peers_all") else None,
             known=data.get("known"),
             settings=settings,
-            zones=tuple(filter(None, pairs.get("Zones", "").split(","))),
+            zones=_names(data["settings"].get("Zones") or [], "settings: Zones"),  # a name may hold a comma
             class_names=tuple(_need(pairs, f"Classes.{i}.Name") for i in range(len(settings.classes))),
             shards=_number(_need(pairs, "Extra.Shards"), "settings: Extra.Shards"),
             me=_number(pairs.get("Ordinal", "0"), "settings: Ordinal"),
@@ -89,6 +89,12 @@
     return host, int(port)
 
 
+def _names(found: object, key: str) -> tuple[str, ...]:
+    if not isinstance(found, list) or not all(isinstance(name, str) for name in found):
+        raise ConfigError(f"{key}: {found!r} is no list of names")
+    return tuple(found)
+
+
 def _need(pairs: dict[str, str], key: str) -> str:
     if not pairs.get(key):
         raise ConfigError(f"settings: key {key} is missing")
--- a/gingervane/wire/frames.py
+++ b/gingervane/wire/frames.py
@@ -16,7 +16,7 @@
 MOST_BYTES = 64 * 1024  # of a frame from a replica; the bodies of the same platform hold no more either
 
 _LENGTH = struct.Struct("<I")
-_LINE = re.compile(rb"([0-9A-Za-z.-]{1,100}) (served|broke|skipped) (-|-?[0-9]{1,20}) ([^\n]{0,1000})\Z")
+_LINE = re.compile(rb"([0-9A-Za-z._-]{1,100}) (served|broke|skipped) (-|-?[0-9]{1,20}) ([^\n]{0,1000})\Z")
 
 
 class FrameError(Exception):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,6 +14,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from urllib.parse import quote
 
 import pytest
 from hypothesis import given
@@ -135,7 +136,37 @@
     assert reader.read({"seq": 4, "whole": False, "hosts": [good]}) is None, "old news"
 
 
+AWKWARD = ("ready", "hut nights, all", "s\u00f8k/100%")
+
+
+@pytest.mark.parametrize("number", range(3))
+def test_a_class_may_have_any_name(tmp_path: Path, number: int) -> None:
+    """`/ready` went before a class of that name, and names were not decoded."""
+    classes = [kind | {"Name": name} for kind, name in zip(SETTINGS["Classes"], AWKWARD, strict=True)]
+    extra = SETTINGS["Extra"] | {"ClassFetch": [0, 0, 0]}
+    platform = Platform(tmp_path, Replica(0), settings=SETTINGS | {"Classes": classes, "Extra": extra})
+    served(platform.ask("q", {0: 1.0}, "/" + quote(AWKWARD[number], safe="")), "q", 0)
+    with platform.client() as sock:
+        sock.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert reply(sock)[0] == 200
+    platform.close()
+
+
+def test_a_zone_may_have_any_name(tmp_path: Path) -> None:
+    zones = ["a", "b, west", "c"]
+    platform = Platform(tmp_path, Replica(0), settings=SETTINGS | {"Zones": zones})
+    assert read(platform.path).zones == tuple(zones)
+    platform.close()
+
+
+def test_an_id_that_a_client_may_use_comes_back_from_a_replica(platform: Platform) -> None:
+    """An underscore was taken from clients and was a spoilt answer on its way back."""
+    served(platform.ask("a_B-9", {0: 0.5, 1: 0.5}), "a_B-9", 0, 1)
+    assert sum(len(replica.parts.items) for replica in platform.replicas) == 2
+
+
 @pytest.mark.parametrize(("change", "what"), [
+    ({"settings": SETTINGS | {"Zones": "a,b"}}, "Zones"),
     ({"settings": None}, "settings: missing"), ({"listen": "nowhere"}, "listen"), ({"seed": "xyz"}, "seed"),
     ({"settings": SETTINGS | {"Zones": ["a"], "Rules": {}}}, "Rules.StartCapacity is missing"),
 ])
