--- a/gingervane/node/clients.py
+++ b/gingervane/node/clients.py
@@ -40,7 +40,8 @@
 
     def handle(self, request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
         path = request.target.partition("?")[0]
-        word = unquote(path[1:].partition("/")[0])
+        word = path[1:].partition("/")[0]
+        word = word if word in self._classes else unquote(word)  # as it stands, or encoded
         if path in ("/ready", "/health") and (request.method != "POST" or word not in self._classes):
             if request.method not in ("GET", "HEAD"):
                 return plain(405, "only GET here", fields=(("Allow", "GET"),))
