--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -172,6 +172,7 @@
         self.usual = [c.aim * START_DELAY for c in settings.classes]  # median time of a part on good days
         self.hedges, self.failures, self.sent = _Count(WINDOW), _Count(WINDOW), _Count(WINDOW)
         self.flow = 0.0  # parts that a ready server has had of this co-ordinator, in the mean
+        self.asked, self.flowed = _Count(WINDOW), _Count(WINDOW)  # parts asked for; those that made that flow
         # The budget's own counts lean a tick to the safe side at both ends.
         span, tick = settings.budget_span or 0.0, settings.granularity
         self.extras, self.taken = _Count(span + tick), _Count(span - tick)
@@ -338,6 +339,10 @@
             # Half of what pushes it over; the other half is for uneven shards and late lists.
             server.credit = min(1.0, server.credit + gained * max(self.settings.fall_multiple / 2, 1.0))
         server.credit_at, server.flow_at = self.now, self.flow
+        # No more is drawn than half of what pushes it over, as answers flow. Guards against clients that come
+        # again and again: each try is one more draw, at all co-ordinators, and answers none of them.
+        answered = (self.flowed.get(self.now) + FEW) / (self.asked.get(self.now) + FEW)
+        share *= min(1.0, answered * self.settings.fall_multiple / 2)
         drawn = server.draw < share and server.credit > -AHEAD
         return drawn or (server.credit >= 1.0 and not sparing)
 
@@ -479,6 +484,7 @@
         answered = event.outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.REJECTED)
         if event.outcome is api.Outcome.OK:
             self.flow += 1 / max(self.ready, 1)
+            self.flowed.add(self.now)
             # Guards against a jammed server that an answer as late as silence lets back in, for all peers.
             if attempt.waits < SILENCE:
                 self._judge(server, 0.0)
@@ -539,6 +545,7 @@
 
     def _take_part(self, event: api.PartArrived) -> None:
         self.taken.add(self.now)
+        self.asked.add(self.now)
         if query := self.by_number.get(event.query_number):
             query.parts.append(_Part(event, query, self.now))
             self.fresh[query.arrived.id] = query
