A refusal for want of room says when to come back only where that is allowed

Cause: Admission took the longest wait from the settings without asking RetryAfter; a refusal at the end carried the header on a deployment that forbids it. Forced on a node that takes nothing new; the test fails without the change.

--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -191,7 +191,8 @@
         gather: float = 0.0,
     ) -> None:
         """`gather`: seconds between the starts of two turns, at least; what comes meanwhile makes one batch."""
-        self.settings, self.admission = settings, Admission(bounds, settings.longest_wait_advice)
+        self.settings = settings
+        self.admission = Admission(bounds, settings.longest_wait_advice if settings.may_advise_wait else 0.0)
         self._driver = Driver(module, settings)
         self._driver.observe = observer.attempt
         self.observer, self._outside = observer, outside or Outside()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -154,6 +154,16 @@
     platform.close()
 
 
+@pytest.mark.parametrize("advises", [True, False])
+def test_a_refusal_says_when_to_come_back_only_where_that_is_allowed(tmp_path: Path, advises: bool) -> None:
+    limits = SETTINGS["Limits"] | {"RetryAfter": advises}
+    platform = Platform(tmp_path, Replica(0), settings=SETTINGS | {"Limits": limits})
+    platform.node.core.close()
+    status, fields, _ = platform.ask("q", {0: 1.0})
+    assert status == 503 and ("retry-after" in fields) is advises
+    platform.close()
+
+
 def test_a_zone_may_have_any_name(tmp_path: Path) -> None:
     zones = ["a", "b, west", "c"]
     platform = Platform(tmp_path, Replica(0), settings=SETTINGS | {"Zones": zones})
