An address that is none, or a replica listed twice, ends no decision thread any more

Need: one entry of discovery's list could end a co-ordinator. Forced on sockets, on the text before: - `"dial": "s-new:80"`: `connect_ex` asks the resolver and raises, in the decision thread (`Links.start` guards the making of a link, not its connecting). Log: "the decision thread broke: gaierror: [Errno -2] Name or service not known"; every query after it is answered 500. - the same host DELETED and then SERVING in one change: `ListReader.read` kept both; `Driver._hold_back` dropped the address by the first word, the module went by the second. Log: "the decision thread broke: KeyError: 4438...". Ruled out: JSON of odd types in any place of a list or of the configuration (12,000 drawn examples, none raises anything but its own error).

Change: one reader of addresses, `config.parse_address`, for the configuration and for lists: an IPv4 address and a port, as the protocol has them; there is no DNS. An entry that has none is skipped with one line in the log, a configuration that has none is refused by its key. Of a replica that stands twice in a list the last word counts.

Measured: 17 new cases; 4 of them fail on the text before (three dials, DELETED then SERVING), all pass now. tests/test_node.py passes.

--- a/gingervane/node/config.py
+++ b/gingervane/node/config.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -11,9 +13,10 @@
 from gingervane.startup import SettingsError, flatten, read_settings
 
 Address = tuple[str, int]
+_ADDRESS = re.compile(r"([0-9.]{7,15}):([0-9]{1,5})\Z")
 
 
-class ConfigError(Exception):
+class ConfigError(ValueError):
     """The configuration cannot be used: which key, and what is wrong with it."""
 
 
@@ -82,11 +85,17 @@
 
 
 def parse_address(text: object, key: str, least: int = 1) -> Address:
-    """`HOST:PORT`. Raises ConfigError."""
-    host, colon, port = str(text).rpartition(":")
-    if not colon or not host or not port.isdecimal() or not least <= int(port) < 65536:
-        raise ConfigError(f"{key}: {text!r} is not HOST:PORT")
-    return host, int(port)
+    """`A.B.C.D:PORT`, as the platform writes them. Raises ConfigError.
+
+    Guards against names: there is no DNS, and whoever connects to one waits for the resolver, or breaks on it.
+    """
+    found = _ADDRESS.match(str(text))
+    try:
+        if found and least <= int(found[2]) < 65536:
+            return str(IPv4Address(found[1])), int(found[2])
+    except ValueError:
+        pass  # numbers that are no address
+    raise ConfigError(f"{key}: {str(text)[:100]!r} is not an IPv4 address and a port")
 
 
 def _names(found: object, key: str) -> tuple[str, ...]:
--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -26,11 +26,11 @@
 
 from gingervane import interface as api
 from gingervane.coordinator import types as t
+from gingervane.node.config import Address, parse_address
 from gingervane.wire import http1
 from gingervane.wire.http1 import Closed, HttpError, Limits, Reader
 from gingervane.wire.json_values import JsonValues, TooLong
 
-Address = tuple[str, int]
 SILENCE = 3.0  # seconds: an empty line is due every 2 s, and one that is late by half is not coming
 _STATES = {
     "SERVING": api.ReplicaState.READY, "DRAINING": api.ReplicaState.DRAINING, "DELETED": api.ReplicaState.GONE,
@@ -69,28 +69,26 @@
         if version < self.version and not (whole and anew) or version == self.version and not whole:
             return None
         self.version = version
-        replicas, addresses = [], {}
+        # Of a replica that stands there twice the last word counts, alone. Guards against one that is gone and back
+        # in the same change: by the first word its address was dropped, by the second it was sent to.
+        found: dict[int, tuple[api.Replica, Address | None]] = {}
         for entry in hosts:
             try:
                 replica, where = self._entry(entry)
             except (TypeError, KeyError, ValueError) as error:
                 self._log(f"discovery: entry skipped: {type(error).__name__}: {error}: {str(entry)[:200]}")
                 continue
-            replicas.append(replica)
-            if where:
-                addresses[replica.id] = where
+            found[replica.id] = replica, where
         kind = api.ListKind.CACHED if cached else api.ListKind.FULL if whole else api.ListKind.DELTA
-        return t.Listed(api.MembershipChanged(kind, tuple(replicas)), addresses)
+        addresses = {number: where for number, (_, where) in found.items() if where}
+        return t.Listed(api.MembershipChanged(kind, tuple(replica for replica, _ in found.values())), addresses)
 
     def _entry(self, entry: Any) -> tuple[api.Replica, Address | None]:
         if not isinstance(entry, dict):
             raise TypeError("no object")
         if entry.get("health") == "DELETED":  # its name says all: nothing else of it may keep it listed
             return api.Replica(replica_id(str(entry["host"])), 0, -1, 0.0, api.ReplicaState.GONE, 0.0), None
-        host, _, port = str(entry["dial"]).rpartition(":")
-        born = float(entry.get("born_ms", 0))
-        if not host or not 0 < int(port) < 65536:
-            raise ValueError("dial is not HOST:PORT")
+        where, born = parse_address(entry["dial"], "dial"), float(entry.get("born_ms", 0))
         zone = self._zones.index(entry["site"]) if entry.get("site") in self._zones else -1
         replica = api.Replica(
             id=replica_id(str(entry["host"])), cell=int(entry["block"]), zone=zone,
@@ -98,7 +96,7 @@
             # 0 is long ago. One offset for good: a start that seemed to move would pass for a restart.
             started_at=born / 1000 + self._offset if born else 0.0,
         )
-        return replica, (host, int(port))
+        return replica, where
 
 
 class Watch:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -21,7 +21,7 @@
 from hypothesis import strategies as st
 
 from gingervane import interface as api
-from gingervane.coordinator.types import Call
+from gingervane.coordinator.types import Call, Listed
 from gingervane.node.config import ConfigError, read
 from gingervane.node.discovery import ListReader, replica_id
 from gingervane.node.links import SPARE, Links
@@ -52,6 +52,19 @@
     made.close()
 
 
+def tell(platform: Platform, *hosts: dict[str, object]) -> None:
+    """Have discovery tell a change; back once it lies before whatever is asked next."""
+    told, put = threading.Event(), platform.node.watch._tell
+
+    def note(listed: Listed) -> None:
+        put(listed)
+        told.set()
+
+    platform.node.watch._tell = note
+    platform.discovery.change(*hosts)
+    assert told.wait(PATIENCE)
+
+
 def served(found: tuple[int, dict[str, str], object], name: str, *shards: int) -> None:
     assert found[0] == 200, found
     cells = [{"tablet": s, "cell": cell_of(f"{name}.{s}")} for s in shards]
@@ -136,6 +149,35 @@
     assert reader.read({"seq": 4, "whole": False, "hosts": [good]}) is None, "old news"
 
 
+ODD_DIALS = ("s-new:80", "[::1]:80", "127.1:80", "\0:80", "127.0.0.1:" + "9" * 5000, "1.2.3.4:\u0661", 7, None)
+
+
+@pytest.mark.parametrize("dial", ODD_DIALS, ids=range(len(ODD_DIALS)))
+def test_a_replica_whose_address_cannot_be_one_is_skipped_and_the_others_go_on(
+    platform: Platform, dial: object,
+) -> None:
+    """A name in the place of an address had the decision thread ask for it, and break: all queries failed."""
+    tell(platform, *[host(r) | {"host": f"odd-{r.port}", "dial": dial} for r in platform.replicas])
+    for number in range(20):
+        served(platform.ask(f"q{number}", {0: 1.0}), f"q{number}", 0)
+    assert not platform.node.core.broken.is_set()
+
+
+@pytest.mark.parametrize("last", ["SERVING", "DRAINING", "DELETED"])
+@pytest.mark.parametrize("first", ["SERVING", "DRAINING", "DELETED"])
+def test_of_a_replica_that_stands_twice_in_a_change_the_last_word_counts(
+    platform: Platform, first: str, last: str,
+) -> None:
+    """One that was gone and is back in the same change had no address: the decision thread broke on it."""
+    again, other = platform.replicas
+    back = last == "SERVING"
+    tell(platform, host(again, health=first), host(other, health="DRAINING" if back else "SERVING"),
+         host(again, health=last))
+    for number in range(20):
+        served(platform.ask(f"q{number}", {0: 1.0}), f"q{number}", 0)
+    assert len(again.parts.items) == (20 if back else 0) and not platform.node.core.broken.is_set()
+
+
 AWKWARD = ("ready", "hut nights, s\u00f8k/100%", "v1.%20_x~")
 
 
@@ -181,6 +223,8 @@
     ({"settings": SETTINGS | {"Zones": "a,b"}}, "Zones"),
     ({"settings": None}, "settings: missing"), ({"listen": "nowhere"}, "listen"), ({"seed": "xyz"}, "seed"),
     ({"settings": SETTINGS | {"Zones": ["a"], "Rules": {}}}, "Rules.StartCapacity is missing"),
+    ({"discovery": "discovery.internal:8500"}, "discovery"), ({"peers": ["\0:1"]}, "peers"),
+    ({"discovery": "127.0.0.1:" + "9" * 5000}, "discovery"),
 ])
 def test_a_bad_configuration_names_its_key(platform: Platform, change: dict[str, object], what: str) -> None:
     data = json.loads(platform.path.read_text()) | change
