Settings that would break the decisions later are refused at the start, by their key

Numbers were read and not looked at: `Sets` 0 (division in `policy._members`), `WholeAt` 0 (in `_settle`), `GranularityS` 0 (in `WheelTimers`), no class at all (`max` of nothing at SIGTERM), NaN, infinite and negative times started, and ended the decision thread or made it wait for ever at the first list or query.

Change: `startup.read_settings` and `node/config.py` read counts as at least 1, times as finite and not negative, `WholeAt`, `GranularityS` and `DeadlineS` as more than 0. Worth may be any number, as nothing divides by it.

Measured: eight new cases of `test_a_bad_configuration_names_its_key` fail without this and pass with it.

--- a/gingervane/node/config.py
+++ b/gingervane/node/config.py
@@ -4,6 +4,7 @@
 
 import re
 from ipaddress import IPv4Address
+from math import inf
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -118,7 +119,10 @@
 
 
 def _seconds(pairs: dict[str, str], key: str) -> float:
+    text = _need(pairs, key)
     try:
-        return float(_need(pairs, key))
+        if 0.0 <= (seconds := float(text)) < inf:
+            return seconds
     except ValueError:
-        raise ConfigError(f"settings: {key}: {pairs[key]!r} is not a number") from None
+        pass
+    raise ConfigError(f"settings: {key}: {text!r} is no number of seconds")
--- a/gingervane/startup.py
+++ b/gingervane/startup.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from math import inf
 from typing import Any, TypeVar
 
 from gingervane import interface as api
@@ -56,6 +57,22 @@
     def maybe(key: str, read: Callable[[str], T]) -> T | None:
         return need(key, read) if pairs.get(key) else None
 
+    # Guards against values that break the decisions long after the start, or let them wait for ever.
+    def number(value: str) -> float:
+        if not 0.0 <= (found := float(value)) < inf:  # nor NaN
+            raise ValueError
+        return found
+
+    def positive(value: str) -> float:
+        if not (found := number(value)):
+            raise ValueError
+        return found
+
+    def count(value: str) -> int:
+        if (found := int(value)) < 1:
+            raise ValueError
+        return found
+
     def flag(value: str) -> bool:
         return {"true": True, "false": False}[value]
 
@@ -69,13 +86,13 @@
         semantics = need(f"Classes.{i}.Semantics", api.Semantics)
         keyed = semantics is api.Semantics.KEYED
         return api.QueryClass(
-            aim=need(f"Classes.{i}.AimS", float),
-            deadline=need(f"Classes.{i}.DeadlineS", float),
+            aim=need(f"Classes.{i}.AimS", number),
+            deadline=need(f"Classes.{i}.DeadlineS", positive),
             semantics=semantics,
-            repeat_window=need(f"Classes.{i}.WindowS", float) if keyed else None,
+            repeat_window=need(f"Classes.{i}.WindowS", number) if keyed else None,
             second_step_parts=per_class("Extra.ClassFetch", int, i),
             least_share=per_class("Extra.MinShare", float, i),
-            whole_share=per_class("Extra.WholeAt", float, i),
+            whole_share=per_class("Extra.WholeAt", positive, i),
             aim_stretch=maybe(f"Classes.{i}.AimStretch", float),
             late_worth=need(f"Classes.{i}.LateWorth", float),
             short_worth=per_class("Extra.ShortWorth", float, i),
@@ -83,26 +100,26 @@
 
     tenants = range(need("Tenants.count", int) if "Tenants.count" in pairs else 0)
     return api.Settings(
-        coordinators=need("Balancers", int),
+        coordinators=need("Balancers", count),
         zone=need("Locality", int),
-        classes=tuple(query_class(i) for i in range(need("Classes.count", int))),
-        tenant_quotas=tuple(maybe(f"Tenants.{i}.QuotaPerS", float) for i in tenants),
-        granularity=need("GranularityS", float),
-        cells=need("Extra.Sets", int),
-        width=need("Extra.Width", int),
-        parts_per_call=need("Extra.PerCall", int),
-        most_attempts=need("Limits.SendCap", int),
+        classes=tuple(query_class(i) for i in range(need("Classes.count", count))),
+        tenant_quotas=tuple(maybe(f"Tenants.{i}.QuotaPerS", number) for i in tenants),
+        granularity=need("GranularityS", positive),
+        cells=need("Extra.Sets", count),
+        width=need("Extra.Width", count),
+        parts_per_call=need("Extra.PerCall", count),
+        most_attempts=need("Limits.SendCap", count),
         may_cancel=need("Limits.Cancelling", flag),
         may_message_peers=need("Limits.Peers", flag),
         may_copy=need("Limits.SecondCopies", flag),
         may_advise_wait=need("Limits.RetryAfter", flag),
-        longest_wait_advice=need("Limits.MaxRetryAfterS", float),
+        longest_wait_advice=need("Limits.MaxRetryAfterS", number),
         must_ask_membership=need("MembershipMode", mode),
-        start_capacity=need("Rules.StartCapacity", float),
-        ramp_time=need("Rules.RampTimeS", float),
-        fall_time=need("Rules.FallS", float),
-        fall_multiple=need("Rules.TipMultiple", float),
-        budget_free=maybe("Rules.BudgetFree", float),
-        budget_share=maybe("Rules.ExtraRatio", float),
-        budget_span=maybe("Rules.ResendSpanS", float),
+        start_capacity=need("Rules.StartCapacity", number),
+        ramp_time=need("Rules.RampTimeS", number),
+        fall_time=need("Rules.FallS", number),
+        fall_multiple=need("Rules.TipMultiple", number),
+        budget_free=maybe("Rules.BudgetFree", number),
+        budget_share=maybe("Rules.ExtraRatio", number),
+        budget_span=maybe("Rules.ResendSpanS", number),
     )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -225,6 +225,14 @@
     ({"settings": SETTINGS | {"Zones": ["a"], "Rules": {}}}, "Rules.StartCapacity is missing"),
     ({"discovery": "discovery.internal:8500"}, "discovery"), ({"peers": ["\0:1"]}, "peers"),
     ({"discovery": "127.0.0.1:" + "9" * 5000}, "discovery"),
+    ({"settings": SETTINGS | {"Classes": []}}, "Classes.count"),
+    ({"settings": SETTINGS | {"Balancers": 0}}, "Balancers"),
+    ({"settings": SETTINGS | {"GranularityS": 0}}, "GranularityS"),
+    ({"settings": SETTINGS | {"Extra": SETTINGS["Extra"] | {"Sets": 0}}}, "Extra.Sets"),
+    ({"settings": SETTINGS | {"Extra": SETTINGS["Extra"] | {"WholeAt": [1.0, 0.0, 1.0]}}}, "Extra.WholeAt"),
+    ({"settings": SETTINGS | {"Rules": SETTINGS["Rules"] | {"RampTimeS": "nan"}}}, "Rules.RampTimeS"),
+    ({"settings": SETTINGS | {"Rules": SETTINGS["Rules"] | {"FallS": -1}}}, "Rules.FallS"),
+    ({"settings": SETTINGS | {"Limits": SETTINGS["Limits"] | {"ConnIdleS": "inf"}}}, "Limits.ConnIdleS"),
 ])
 def test_a_bad_configuration_names_its_key(platform: Platform, change: dict[str, object], what: str) -> None:
     data = json.loads(platform.path.read_text()) | change
