--- a/tests/test_tree_sockets.py
+++ b/tests/test_tree_sockets.py
@@ -277,18 +277,24 @@
         made[0].close()
 
 
-def test_time_too_short_for_a_leaf_is_refused_below(fleet: Embedded) -> None:
-    for _ in range(10):  # from which the child learns what it needs
-        assert ask(fleet, ALL, "area-report").status == 200
-    child = fleet.apps[1]
-    client = Client(child.address)
-    for _ in range(10):
-        assert client.read([ALL], {"class": "area-report"}, PATIENCE).status == 200
+def test_time_too_short_for_a_leaf_is_refused_below() -> None:
+    """All leaves take well over 80 ms: 40 are too short, and long enough for the refusal to be written. Once
+    the client's time is up its connection ends without one."""
+    tree = {"ring": 4, "width": 4, "fan_out": 4, "levels": 1}
+    fleet = Embedded(nodes=6, tiles=12, coordinators=2, tree=tree, model=Model(work=0.03))
+    assert ask(fleet, ALL, "area-report").status == 200
+    client = Client(fleet.apps[1].address)
     body = snappy.compress(remote_read.write_request([remote_read.write_query(ALL)]))
-    head = http1.head("POST /api/v1/read?class=area-report&timeout=2ms HTTP/1.1", [
-        ("Host", "x"), ("Content-Length", str(len(body))), ("Gingervane-Levels", "0"),
-        ("Gingervane-Attempts", "1"), ("Gingervane-Trail", "c0"),
-    ])
+
+    def from_above(timeout: str) -> bytes:
+        return http1.head(f"POST /api/v1/read?class=area-report&timeout={timeout} HTTP/1.1", [
+            ("Host", "x"), ("Content-Length", str(len(body))), ("Gingervane-Levels", "0"),
+            ("Gingervane-Attempts", "1"), ("Gingervane-Trail", "c0"),
+        ])
+
+    for _ in range(10):  # from which the child learns what it needs
+        assert client.exchange(from_above("4s") + body, PATIENCE)[0] == 200
+    head = from_above("40ms")
     status, headers, text = client.exchange(head + body, PATIENCE)
     assert status == 503 and headers.get("gingervane-began") == "no" and b"needed" in text
     looped = head.replace(b"Trail: c0", b"Trail: c0,c1")
@@ -297,6 +303,7 @@
         status, _, text = client.exchange(head.replace(b"Levels: 0", bad) + body, PATIENCE)
         assert status == 400 and b"Gingervane-Levels" in text
     client.close()
+    fleet.close()
 
 
 def test_cancel_runs_down_the_tree() -> None:
