--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -149,7 +149,8 @@
     assert reader.read({"seq": 4, "whole": False, "hosts": [good]}) is None, "old news"
 
 
-ODD_DIALS = ("s-new:80", "[::1]:80", "127.1:80", "\0:80", "127.0.0.1:" + "9" * 5000, "1.2.3.4:\u0661", 7, None)
+TOO_LONG = "127.0.0.1:" + "9" * 5000
+ODD_DIALS = ("s-new:80", "[::1]:80", "127.1:80", "\0:80", TOO_LONG, "1.2.3.4:\u0661", 7, None)
 
 
 @pytest.mark.parametrize("dial", ODD_DIALS, ids=range(len(ODD_DIALS)))
--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -231,7 +231,7 @@
     lost.fault("fail_fast", 600.0, 1.0)
     fleet.app.vectors.ring.repairer.stop()  # so that it stays behind
     assert fleet.put(5) == 200
-    # Its query is settled, so nothing more is sent; what was sent before must end first, or it may still be done.
+    # Its query is settled, so nothing more is sent; what was sent before must end, or it may still be done.
     eventually(lambda: fleet.app.vectors is not None and not fleet.app.vectors.cores[1].calls_held)
     assert fleet.of(5).count(None) == 1
     lost.schedule.faults.clear()
