Budgets and windows hold for what leaves: the module is told how late an attempt may go

`Call.go` lets a further attempt leave up to `HAND_OVER` (50 ms) after it was decided, as when its connection comes up late. The module kept a keyed part's window and the budget's span by one tick (5 ms): only the daemon shortened them by the 50 ms, and the node did not. So a repeat decided 40 ms before its window's end could arrive 10 ms after it, where the replicas may have forgotten its key; of two further attempts one left late and the next at once, nearer than the span. And a frame that a full socket took in part was finished whenever the socket took bytes again, long after both: an attempt counts from its frame's last byte. Lines at fault: `policy._send` and the two counts (`granularity` alone), `node/config.read` (nothing told), `_Link.flush` (`_rest`). Ruled out: the first attempt, whose late leaving only makes the window longer than counted. Also found: the daemon's longer span counted queries taken before the true span as its credit.

Change: `Settings.hand_over`, from the one `HAND_OVER`, told by node and daemon alike; the module leans by it at both ends. What stands half in a socket past its time ends as never run, with its connection.

Measured: three new tests, of driver and module on the node's own settings and of a link on sockets, fail without the three changes (0.96 + 0.05 s of a window of 1 s; 102.01 after 100.05 with a span of 2 s; the frame was finished) and pass with them.

--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -11,8 +11,8 @@
 from gingervane import interface as api
 
 
-# Seconds that a further attempt may leave after it was decided. Budgets and windows are told to the module with so
-# much to spare, so that they hold for what leaves the sockets and not only for what was decided.
+# Seconds that a further attempt may leave after it was decided, the last byte of its frame included. The module is
+# told so, and keeps budgets and windows by so much, as they hold for what leaves the sockets.
 HAND_OVER = 0.05
 
 
@@ -213,12 +213,16 @@
         further one that waited longer than `HAND_OVER` was allowed for another moment, and ends as never sent.
         """
         claimed = [errand for errand in self.errands if errand.claim()]
-        late = now - self.decided_at > HAND_OVER
+        late = self.is_late(now)
         return (
             [errand for errand in claimed if not (late and errand.attempt)],
             [errand for errand in claimed if late and errand.attempt],
         )
 
+    def is_late(self, now: float) -> bool:
+        """Whether no byte of a further attempt may leave any more."""
+        return now - self.decided_at > HAND_OVER
+
 
 class Start(NamedTuple):
     call: Call
--- a/gingervane/daemon/settings.py
+++ b/gingervane/daemon/settings.py
@@ -304,7 +304,7 @@
             longest_wait_advice=limits.longest_wait_advice, must_ask_membership=False,
             start_capacity=cold.start_capacity, ramp_time=cold.ramp_time, fall_time=cold.fall_time,
             fall_multiple=cold.fall_multiple, budget_free=free, budget_share=budget.share if budget else None,
-            budget_span=budget.span + HAND_OVER if budget else None,
+            budget_span=budget.span if budget else None, hand_over=HAND_OVER,
         )
 
 
@@ -320,9 +320,8 @@
 
 
 def _class(c: Class, least: float) -> api.QueryClass:
-    window = None if c.repeat_window is None else max(c.repeat_window - HAND_OVER, c.repeat_window / 2)
     return api.QueryClass(
-        aim=c.aim, deadline=c.deadline, semantics=c.semantics, repeat_window=window, second_step_parts=0,
+        aim=c.aim, deadline=c.deadline, semantics=c.semantics, repeat_window=c.repeat_window, second_step_parts=0,
         least_share=least, whole_share=1.0, aim_stretch=None, late_worth=c.late_worth, short_worth=c.short_worth,
     )
 
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -89,6 +89,7 @@
     budget_free: float | None
     budget_share: float | None
     budget_span: float | None
+    hand_over: float = 0.0  # seconds by which an attempt may leave later than it was decided, at most
 
 
 class Replica(NamedTuple):
--- a/gingervane/node/config.py
+++ b/gingervane/node/config.py
@@ -11,6 +11,7 @@
 import orjson
 
 from gingervane import interface as api
+from gingervane.coordinator.types import HAND_OVER
 from gingervane.startup import SettingsError, flatten, read_settings
 
 Address = tuple[str, int]
@@ -55,7 +56,7 @@
         raise ConfigError(f"{path}: settings: missing or no table")
     pairs = flatten(data["settings"])
     try:
-        settings = read_settings(pairs)
+        settings = read_settings(pairs)._replace(hand_over=HAND_OVER)
         return Config(
             name=str(data.get("name", "")),
             listen=parse_address(data.get("listen"), "listen", least=0),  # 0: the kernel chooses
--- a/gingervane/node/links.py
+++ b/gingervane/node/links.py
@@ -88,6 +88,7 @@
         self._pending: deque[t.Call | bytes] = deque()
         self._rest = b""
         self._half: set[str] = set()  # parts of the frame that `_rest` ends
+        self._rest_of: t.Call | None = None  # whose frame that is, if a further attempt is in it
         self._reader = FrameReader()
         self.broken, self._up, self.reading = False, False, False
         self.used = time.monotonic()
@@ -172,7 +173,12 @@
                 # Not half-written any more as far as the reader knows: were it to break now, the rest may have gone.
                 data, parts, self._half = self._rest, self._half, set()
                 item = None if data else self._pending.popleft()
+            if data and self._rest_of and self._rest_of.is_late(time.monotonic()):
+                # Guards windows and budgets: an attempt counts from its frame's last byte.
+                self.fail("late inside a frame", parts)
+                return
             if item is not None:
+                self._rest_of = item if isinstance(item, t.Call) and any(e.attempt for e in item.errands) else None
                 data, parts = (item, set[str]()) if isinstance(item, bytes) else self._prepare(item)
                 if data and TAP.on:
                     self._trace("call" if parts else "cancel", parts=sorted(parts) or data[5:].decode())
--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -173,9 +173,10 @@
         self.hedges, self.failures, self.sent = _Count(WINDOW), _Count(WINDOW), _Count(WINDOW)
         self.flow = 0.0  # parts that a ready server has had of this co-ordinator, in the mean
         self.asked, self.flowed = _Count(WINDOW), _Count(WINDOW)  # parts asked for; those that made that flow
-        # The budget's own counts lean a tick to the safe side at both ends.
-        span, tick = settings.budget_span or 0.0, settings.granularity
-        self.extras, self.taken = _Count(span + tick), _Count(span - tick)
+        # The budget's own counts lean to the safe side at both ends, and so does the window of what is keyed:
+        # by a tick, and by what an attempt may leave later than it was decided.
+        span, self.lag = settings.budget_span or 0.0, settings.granularity + settings.hand_over
+        self.extras, self.taken = _Count(span + self.lag), _Count(span - self.lag)
         self.tenants = defaultdict[int, _Count](lambda: _Count(WINDOW))
         self.ask_pause = ASK_PAUSE
         self.stalled, self.idle_limit, self.limit_at = False, inf, 0.0  # stalled: just after a standstill
@@ -401,10 +402,10 @@
         over = query.over or part.done or self.now >= query.answer_by or part.made >= rules.most_attempts
         if over or not self._permitted(server) or (part.out and not rules.may_copy):
             return False
-        # No effect twice: what may have run goes again if safe; if keyed, within its window less a tick.
+        # No effect twice: what may have run goes again if safe; if keyed, within its window.
         known = {api.Semantics.SAFE: inf, api.Semantics.UNSAFE: 0.0}
         window = known.get(kind.semantics, kind.repeat_window or 0.0)
-        if part.may_have_run and self.now >= min(part.may_have_run.values()) + window - rules.granularity:
+        if part.may_have_run and self.now >= min(part.may_have_run.values()) + window - self.lag:
             return False
         left = (rules.budget_share or 0.0) * self.taken.get(self.now) - self.extras.get(self.now)
         spare = (rules.budget_free or 0.0) * is_copy / 2  # of the stated few, half is for retries
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,11 +15,15 @@
 
 import pytest
 
+from gingervane import interface as api
 from gingervane.coordinator import types as t
+from gingervane.coordinator.driver import Driver
 from gingervane.interface import Outcome, Semantics
+from gingervane.node import config as configuration
 from gingervane.node import links as links_module
 from gingervane.node.links import FrameTravel, LinkLimits, Links, _Link
 from gingervane.node.service import Lines
+from gingervane.policy import Coordinator
 from gingervane.wire.frames import Asked
 from platform_standins import (
     PATIENCE, SETTINGS, Platform, Replica, Waiter, answer, cell_of, query, request, until,
@@ -249,3 +253,100 @@
     assert asked(replica) == []
     assert platform.ask("after", {0: 1.0})[0] == 200
     platform.close()
+
+
+# ---- a further attempt, and the end of the time in which it may leave
+
+
+def decided(driver: Driver, now: float, *inputs: t.Input) -> list[t.Call]:
+    """Calls that a batch at `now` starts."""
+    return [effect.call for effect in driver.step(now, inputs) if isinstance(effect, t.Start)]
+
+
+def keyed_platform(tmp_path: Path, **rules: object) -> api.Settings:
+    """What the module is told where a class is keyed, its window 1 s."""
+    keyed = {"Semantics": "keyed", "WindowS": 1.0}
+    classes = [SETTINGS["Classes"][0] | keyed, *SETTINGS["Classes"][1:]]
+    made = SETTINGS | {"Classes": classes, "Rules": SETTINGS["Rules"] | rules}
+    platform = Platform(tmp_path, Replica(0), settings=made)
+    platform.close()
+    return configuration.read(platform.path).settings
+
+
+def a_query(number: int, now: float) -> t.Arrived:
+    part = t.PartPlan(0, 1.0, Asked(f"q{number}.0", 0, "", b"x"))
+    return t.Arrived(number, t.QueryPlan(0, now + 6.0, (part,), FrameTravel()), lambda final: None)
+
+
+def two_replicas() -> t.Listed:
+    rows = tuple(api.Replica(n, 0, 0, 1.0, api.ReplicaState.READY, 0.0) for n in (1, 2))
+    return t.Listed(api.MembershipChanged(api.ListKind.FULL, rows), {n: ("127.0.0.1", n) for n in (1, 2)})
+
+
+def test_a_repeat_decided_at_the_edge_of_its_window_leaves_inside_it(tmp_path: Path) -> None:
+    """It may leave by `HAND_OVER` later than it was decided, when the replicas had forgotten its key."""
+    settings, repeated = keyed_platform(tmp_path), []
+    for after in (0.5, 0.9, 0.94, 0.95, 0.96, 0.98, 0.99, 0.994, 1.0, 1.2):
+        driver = Driver(Coordinator(settings, 1), settings)
+        first, now = decided(driver, 100.0, two_replicas(), a_query(1, 100.0)), 100.0 + after
+        (errand,) = first[0].go(100.0)[0]
+        again = decided(driver, now, t.Ended(errand.part, errand.attempt, Outcome.RESET, now))
+        for call in again:
+            lates = (0.0, 0.02, t.HAND_OVER, 0.06)
+            latest = max(late for late in lates if not call.is_late(now + late))
+            assert after + latest <= 1.0 and call.go(now + latest)[0], "it leaves, inside the window"
+        repeated += [after] * len(again)
+    assert 0.9 in repeated, "inside the window it is repeated"
+
+
+def test_further_attempts_at_the_edge_of_the_budget_s_span_leave_within_it(tmp_path: Path) -> None:
+    """One leaves as late as it may, the next one at once: no more than the budget in any span of it."""
+    settings, spared = keyed_platform(tmp_path, BudgetFree=1.0, ExtraRatio=0.0, ResendSpanS=2.0), []
+    for after in (1.9, 1.95, 1.98, 2.0, 2.01, 2.04, 2.05, 2.06, 2.1, 3.0):
+        driver = Driver(Coordinator(settings, 1), settings)
+        times = []
+        for number, now in ((1, 100.0), (2, 100.0 + after)):
+            first = decided(driver, now, *([two_replicas()] if number == 1 else []), a_query(number, now))
+            (errand,) = first[0].go(now)[0]
+            again = decided(driver, now, t.Ended(errand.part, errand.attempt, Outcome.RESET, now))
+            times += [now + (t.HAND_OVER if number == 1 else 0.0) for call in again]
+        assert len(times) == 1 or times[1] - times[0] > 2.0
+        spared += [after] * (len(times) - 1)
+    assert 2.1 in spared, "past the span there is budget again"
+
+
+def test_a_further_attempt_whose_frame_was_stopped_half_way_is_not_finished_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An attempt counts from its frame's last byte: that came when its window or budget's span was over."""
+    connect = _Link.connect
+
+    def small(self: _Link) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        connect(self)
+
+    monkeypatch.setattr(_Link, "connect", small)
+    replica, told = Replica(0, lambda wire, part: None), Waiter()
+    replica._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    replica.reading.clear()
+    links = Links(LinkLimits(streams=4, links=4, idle=PATIENCE, connect=PATIENCE), told.put)
+    now, where = time.monotonic(), ("127.0.0.1", replica.port)
+    errand = t.Errand(1, 1, Asked("a.0", 0, "", b"x" * 60000), Semantics.KEYED)
+    call = t.Call(1, 1, where, FrameTravel(), [errand], now + PATIENCE, decided_at=now + PATIENCE)
+    assert links.start(call)
+    (link,) = links._by_number.values()
+
+    def tended() -> bool:
+        links.tend()
+        return True
+
+    until(lambda: tended() and link._half, "half of the frame has left")
+    call.decided_at = now - PATIENCE  # so long ago, by now
+    replica.reading.set()
+    until(lambda: tended() and any(told.items), "its ending is told")
+    (ended,) = told.wait(1, bool)[0]
+    assert ended.outcome is Outcome.CONNECT_FAILED, "a frame that is not whole never ran"
+    replica.ended.wait()
+    assert not asked(replica)
+    links.close()
+    replica.close()
