A client that leaves as a step, a copy or a retry is about to be decided: both orders forced

Need: two states of the issue's list had no test: 'between two steps' and 'just before a copy or a retry is decided'.

Change: one test holds the decision thread until both the client's leaving and what would send more lie before it, in either order, with cancelling and without; a third case, in which the client stays, proves that more would be sent.

--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
@@ -440,6 +441,80 @@
     assert asked(platform) == ["after.0"]
 
 
+# What is about to be decided as the client leaves: the next step, a copy, a retry.
+NEXT = ["its second step", "a copy", "a retry"]
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+@pytest.mark.parametrize("first", ["leaves", "is due", "stays"])
+@pytest.mark.parametrize("due", NEXT)
+def test_a_client_that_leaves_as_more_is_about_to_be_sent_for_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, due: str, first: str, cancelling: bool,
+) -> None:
+    """Both lie before the decision thread in the same turn, in either order: nothing more is sent.
+
+    For a client that stays it is, so that the others prove something.
+    """
+    def behave(wire: Wire, part: Part) -> None:
+        if part.id.startswith("after"):
+            wire.answer(part.id)
+
+    turning, left, leave = Held(monkeypatch, Core, "_turn"), Waiter(), Core.left
+    turning.go.set()
+
+    def note(self: Core, number: int) -> None:
+        leave(self, number)
+        left.put(number)
+
+    monkeypatch.setattr(Core, "left", note)
+    limits = SETTINGS["Limits"] | {"Cancelling": cancelling}
+    replicas = Replica(0, behave), Replica(0, behave)
+    platform = Platform(tmp_path, *replicas, settings=SETTINGS | {"Limits": limits})
+    core, sock = platform.node.core, platform.client()
+    turning.go.clear()
+    module: Any = core._driver._module
+    module.latency[0].extend([0.4] * 25)  # after which a copy follows
+
+    def out() -> list[tuple[Replica, Part]]:
+        return [(replica, part) for replica in replicas for part in replica.parts.items]
+
+    def hold_the_next_turn() -> None:
+        turning.hold()
+        core._inbox.put([])
+        assert turning.entered.wait(PATIENCE)
+
+    sock.sendall(query("q", {0: 1.0}, "/rank" if due == NEXT[0] else "/look"))
+    until(out, "its part is out")
+    hold_the_next_turn()
+    ((replica, part),) = out()
+
+    def goes() -> None:
+        sock.close()
+        left.wait()
+
+    def comes() -> None:
+        if due == "a copy":
+            until(lambda: core._driver.next_due() < time.monotonic(), "it is due")
+            return
+        if due == "a retry":
+            replica.wires[0].reset()
+        else:
+            replica.wires[0].answer(part.id)
+        until(lambda: core._inbox.qsize() > len(left.items), "its end is told")
+
+    acts = {"leaves": [goes, comes], "is due": [comes, goes], "stays": [comes]}
+    for act in acts[first]:
+        act()
+    turning.let_go()
+    if first == "stays":
+        until(lambda: len(out()) > 1, "more is sent")
+    else:
+        assert platform.ask("after", {0: 1.0})[0] == 200
+        assert [part.id for _, part in out() if not part.id.startswith("after")] == ["q.0"]
+    sock.close()
+    platform.close()
+
+
 def test_a_client_s_leaving_is_looked_for_again_after_news_that_was_none(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
 ) -> None:
