--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -308,6 +308,41 @@
         platform.client()
 
 
+# ---- the start
+
+
+def test_nobody_is_told_that_it_is_ready_before_it_decides_and_what_came_before_is_served(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    starting, listening, serve = Held(monkeypatch, Core, "start"), Waiter(), HttpServer.start
+
+    def note(self: HttpServer) -> None:
+        serve(self)
+        listening.put(self.address)
+
+    monkeypatch.setattr(HttpServer, "start", note)
+    starting.hold()
+    made = Waiter()
+    start = in_background(lambda: made.put(Platform(tmp_path)))
+    assert starting.entered.wait(PATIENCE)
+    with socket.create_connection(listening.wait()[0], PATIENCE) as sock:
+        for _ in range(2):
+            sock.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert reply(sock)[0] == 503
+        sock.sendall(query("early", {0: 1.0}))
+        with socket.create_connection(listening.items[0], PATIENCE) as other:
+            other.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert reply(other)[0] == 503, "still, with a query that waits"
+            starting.let_go()
+            assert reply(sock)[0] == 200, "it was taken, and it is served"
+            start.join()
+            other.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert reply(other)[0] == 200
+    platform: Platform = made.items[0]
+    assert asked(platform) == ["early.0"]
+    platform.close()
+
+
 # ---- closing over bytes that lie unread
 
 
