A part whose time is over is called off only where the platform lets parts be cancelled

The module keeps to it, but the driver's own time-out did not look: `_end_here` withdrew each attempt at its `stop_at` with `tell`, and the link wrote `c`. Forced: a silent replica, cancelling off, a query of 200 ms: cancels ['next.2', 'q.0', ...] at the replica. Ruled out: `Cancel` actions (the module gives none), and the end of a query (`_keep_back`, `tell=False`).

Change: `Withdraw` says two things now: `tell`, and `over`, as a link that neither tells nor forgets would keep the place of a part that is never answered, and in time all places of a connection. A late answer is still nobody's.

Measured: the new test fails on the text before and passes three times on this; with cancelling on, the same two parts are called off. The tests of driver, node, policy, emulator and vectors pass.

--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -165,8 +165,8 @@
     def call_off(self, call: t.Call) -> None:
         """No errand of the call is waited for any more."""
 
-    def withdraw(self, call: t.Call, errand: t.Errand, tell: bool) -> None:
-        """A claimed errand is not waited for any more. `tell`: whether its replica may hear of it."""
+    def withdraw(self, call: t.Call, errand: t.Errand, tell: bool, over: bool) -> None:
+        """A claimed errand is not waited for any more, as `types.Withdraw` has it."""
 
     def drop_idle(self, address: tuple[str, int]) -> None:
         """Close the idle connections to an address."""
@@ -306,8 +306,8 @@
                         ]
                 case t.CallOff(call):
                     self._senders.call_off(call)
-                case t.Withdraw(call, errand, tell):
-                    self._senders.withdraw(call, errand, tell)
+                case t.Withdraw(call, errand, tell, over):
+                    self._senders.withdraw(call, errand, tell, over)
                 case t.DropIdle(address):
                     self._senders.drop_idle(address)
                 case t.Settle(settled, final, _):
--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -253,7 +253,7 @@
                 never = t.Ended(number, attempt.number, api.Outcome.NEVER_SENT, now, None, "not wanted any more")
                 events += self._end(never, effects)
             elif attempt.errand and attempt.call and not self._settings.may_cancel:
-                effects.append(t.Withdraw(attempt.call, attempt.errand, tell=False))
+                effects.append(t.Withdraw(attempt.call, attempt.errand, tell=False, over=False))
         return events
 
     def _timed_out(self, label: Any, now: float, effects: list[t.Effect]) -> list[api.Event]:
@@ -271,7 +271,8 @@
         if attempt.errand and attempt.errand.claim():
             outcome = api.Outcome.NEVER_SENT
         elif attempt.errand and attempt.call:
-            effects.append(t.Withdraw(attempt.call, attempt.errand))
+            # Also at its time-out: guards against a word to its replica where the platform forbids it.
+            effects.append(t.Withdraw(attempt.call, attempt.errand, self._settings.may_cancel, over=True))
         return self._end(t.Ended(part, number, outcome, now, None, why), effects)
 
     def _shut(self) -> dict[int, tuple[t.Verdict, str]]:
--- a/gingervane/coordinator/sender.py
+++ b/gingervane/coordinator/sender.py
@@ -75,7 +75,7 @@
     def tend(self) -> None:
         """Nothing waits here but for a thread."""
 
-    def withdraw(self, call: t.Call, errand: t.Errand, tell: bool) -> None:
+    def withdraw(self, call: t.Call, errand: t.Errand, tell: bool, over: bool) -> None:
         """A request is given up as a whole, by `call_off`: HTTP/1.1 cannot take back one part of it."""
 
     def drop_idle(self, address: tuple[str, int]) -> None:
--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -237,13 +237,15 @@
 class Withdraw(NamedTuple):
     """Nobody waits for this errand any more, which had been claimed; others of its call may be waited for.
 
-    `tell`: whether its replica may be told. Where it may not, what has left as a whole goes on there, and its ending
-    is still reported; a frame of which only a part has left must not be finished all the same.
+    `tell`: whether its replica may be told. Where it may not, what has left as a whole goes on there; a frame of
+    which only a part has left must not be finished all the same. `over`: its time has passed, so that its ending is
+    not reported any more.
     """
 
     call: Call
     errand: Errand
-    tell: bool = True
+    tell: bool
+    over: bool
 
 
 class DropIdle(NamedTuple):
--- a/gingervane/node/links.py
+++ b/gingervane/node/links.py
@@ -144,24 +144,22 @@
         self.flush()
         return True
 
-    def withdraw(self, errand: t.Errand, tell: bool) -> None:
+    def withdraw(self, errand: t.Errand, tell: bool, over: bool) -> None:
         part = errand.content.id
         with self._lock:
             held = self.out.get(part)
             if self.broken or held is None or held.errand is not errand:
                 return
             begun = part in self._half
-            if not tell and not begun:
-                return
-            if tell:
+            if tell or over:
                 del self.out[part]
                 self._gone[part] = held.call.stop_at
-            if not begun:
+            if tell and not begun:
                 self._pending.append(frames.cancel(part))
         if begun:
             # Guards against a part that arrives after its query's answer: its frame must never be whole.
             self.fail("given up inside a frame")
-        else:
+        elif tell:
             self.flush()
 
     def flush(self) -> None:
@@ -440,9 +438,9 @@
     def call_off(self, call: t.Call) -> None:
         """Each errand is withdrawn by itself."""
 
-    def withdraw(self, call: t.Call, errand: t.Errand, tell: bool) -> None:
+    def withdraw(self, call: t.Call, errand: t.Errand, tell: bool, over: bool) -> None:
         if isinstance(call.token, _Link):
-            call.token.withdraw(errand, tell)
+            call.token.withdraw(errand, tell, over)
 
     def drop_idle(self, address: tuple[str, int]) -> None:
         for link in self._links.get(address, ()):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -87,7 +87,7 @@
     replica, told = Replica(0, lambda wire, part: None), Waiter()
     links = Links(LinkLimits(streams=1, links=4, idle=PATIENCE, connect=PATIENCE), told.put)
     first = send(links, replica, 1, "a.0")
-    links.withdraw(first, first.errands[0], True)
+    links.withdraw(first, first.errands[0], tell=True, over=True)
     send(links, replica, 2, "b.0")
     assert len(replica.wires) == 1
     replica.wires[0].raw(answer("a.0") + answer("b.0"))
@@ -350,3 +350,26 @@
     assert not asked(replica)
     links.close()
     replica.close()
+
+
+# ---- where nothing may be cancelled
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+def test_a_part_whose_time_is_over_is_called_off_only_where_that_is_allowed(
+    tmp_path: Path, cancelling: bool,
+) -> None:
+    """It was at its time-out, whatever the settings said."""
+    silent = Replica(0, lambda wire, part: None)
+    platform = Platform(tmp_path, silent, settings=with_limits(Cancelling=cancelling))
+    assert platform.ask("q", {0: 0.5, 1: 0.5}, wait=200)[0] == 503
+    until(lambda: links_of(platform).held == 0, "its parts are let go of")
+    sent = threading.Thread(target=platform.ask, args=("next", {2: 1.0}))
+    sent.start()
+    silent.parts.wait(1, lambda part: part.id == "next.2")  # its frame comes behind what was to be told
+    assert sorted(silent.cancels.items) == (["q.0", "q.1"] if cancelling else [])
+    assert len(silent.wires) == 1, "the connection that has their places goes on"
+    silent.wires[0].raw(answer("q.0") + answer("q.1") + answer("next.2"))  # the late ones are nobody's
+    sent.join(PATIENCE)
+    assert not sent.is_alive() and len(silent.wires) == 1
+    platform.close()
