--- a/gingervane/membership/watcher.py
+++ b/gingervane/membership/watcher.py
@@ -92,9 +92,9 @@
         self._stop.set()
 
     def _run(self) -> None:
-        while not self._stop.is_set():
-            if self._stop.wait(self._turn()):
-                return
+        while not self._stop.wait(self._turn()):
+            pass
+        self._pool.close()  # guards an agent that ends with us against waiting for a connection nobody uses
 
     def _turn(self) -> float:
         """One call; seconds until the next."""
