--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(BIN)/gingervane demo
 
 test: $(VENV)/installed
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 3 --dist loadfile
 
 lint: $(VENV)/installed
 	$(BIN)/ruff check .
