A watch that has ended is asked for at once, and a call without news resets the pause

Ruled out: lists read late or not taken (the turn is within 1 ms of the list), parts that leave after a list (0 calls to what is gone in any trace), threads kept waiting by bad clients (no turn over 50 ms).

Change: the first pause is 0.1 s, doubled at each failure to 4/3 s as before; a call without news is told as a change of nothing. Where lists are pushed a pause is a quarter of the grace (`Rules.StopSendingWithinS`) at most, and a call has the grace for all up to its first line.

Two tests are changed with the behaviour: pauses were to differ by 0.7 s from the first on; they are held to 0.17 s at first, each longer than the one before, twofold apart at first and 1 s later on. The new ones (no news, pushed lists, the call's time) fail on the text before.

--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from math import inf
 from typing import NamedTuple
 
 
@@ -90,6 +91,7 @@
     budget_share: float | None
     budget_span: float | None
     hand_over: float = 0.0  # seconds by which an attempt may leave later than it was decided, at most
+    drain_grace: float = inf  # seconds from being told that a replica drains in which it may still be sent to
 
 
 class Replica(NamedTuple):
--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -19,6 +19,7 @@
 import socket
 import time
 from collections.abc import Callable
+from math import inf
 from threading import Condition, Thread
 from typing import Any
 
@@ -58,7 +59,8 @@
         """A list or its changes; None for one that is older than what is held. Raises ListError.
 
         `anew`: the first that a watch brings. A whole list may be older there, where discovery counts anew; behind a
-        newer change it would bring back replicas that drain.
+        newer change it would bring back replicas that drain. One that holds no news says all the same that the call
+        has succeeded: no change of nothing.
         """
         try:
             version, whole, hosts = int(data["seq"]), bool(data["whole"]), data["hosts"]
@@ -67,7 +69,7 @@
         if not isinstance(hosts, list):
             raise ListError("discovery: hosts is no list")
         if version < self.version and not (whole and anew) or version == self.version and not whole:
-            return None
+            return t.Listed(api.MembershipChanged(api.ListKind.DELTA, ()), {}) if anew else None
         self.version = version
         # Of a replica that stands there twice the last word counts, alone. Guards against one that is gone and back
         # in the same change: by the first word its address was dropped, by the second it was sent to.
@@ -104,8 +106,11 @@
 
     def __init__(
         self, where: Address, reader: ListReader, tell: Callable[[t.Listed], None], log: Callable[[str], None],
+        answered_within: float = inf,
     ) -> None:
+        """`answered_within`: seconds for a call up to its first line, if fewer than `SILENCE`."""
         self._where, self._reader, self._tell, self._log = where, reader, tell, log
+        self._answered_within = answered_within
         self._change = Condition()
         self._wanted = self._moved = self._stopped = False
         self._calling = False  # a call is under way, or its watch
@@ -171,7 +176,7 @@
     def _follow(self, where: Address) -> None:
         """One call and its watch, to their end, which is an error whatever it is."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        line_by = time.monotonic() + SILENCE
+        line_by = time.monotonic() + min(SILENCE, self._answered_within)
 
         def left() -> float:
             if (seconds := line_by - time.monotonic()) <= 0:
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -10,6 +10,7 @@
 import sys
 import threading
 import time
+from math import inf
 from pathlib import Path
 
 from gingervane import interface as api
@@ -73,7 +74,10 @@
         )
         self.front = ClientFront(self.core, config.class_names, config.shards)
         reader = ListReader(config.zones, clock_offset(), log)
-        self.watch = Watch(config.discovery, reader, self.core.listed, log)
+        # Where lists are pushed, all counts as told as soon as discovery is back: a call that hangs since before
+        # must not outlast the grace.
+        patience = inf if settings.must_ask_membership else settings.drain_grace or inf
+        self.watch = Watch(config.discovery, reader, self.core.listed, log, patience)
         self._peers = (
             Peers(config.peer_listen, config.peers, config.peers_all, config.me, self.core.heard)
             if config.peer_listen and settings.may_message_peers else None
--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -32,9 +32,11 @@
 BACKLOG, CROSSING = 0.35, 0.5  # of the time to the aim: age of the oldest call; calls that a crossing weighs
 PACED, PACE_FADES, SLOW = 3, 8.0, 2.5  # parts in a pace; its half-life, s; of peers' pace: left for them
 STALLED, EPSILON = 4, 1e-6  # batches' time that a timer may come late; of weights that the wire rounds
-# Seconds before a failed subscription is asked for again: half as much again by its spread, a call that hung
-# for 3 s before it and the answer behind it stay within the 6 s after which what was missed counts as told.
-ASK_PAUSE, ASK_PAUSE_MOST = 1.0, 4 / 3
+# Seconds before a failed subscription is asked for again, doubled at each failure; a spread of half as much
+# on top. The first are short: of a watch that ended instead of telling, what it missed counts as told soon.
+# With the last, a call that hung for 3 s and the answer behind it stay within the 6 s that always hold.
+ASK_PAUSE, ASK_PAUSE_MOST = 0.1, 4 / 3
+PUSHED = 4  # where lists are pushed: such a part of the grace at most, as all counts as told at once
 
 
 class _Count:
@@ -178,6 +180,8 @@
         span, self.lag = settings.budget_span or 0.0, settings.granularity + settings.hand_over
         self.extras, self.taken = _Count(span + self.lag), _Count(span - self.lag)
         self.tenants = defaultdict[int, _Count](lambda: _Count(WINDOW))
+        pushed = max(settings.drain_grace / PUSHED, settings.granularity)
+        self.ask_most = ASK_PAUSE_MOST if settings.must_ask_membership else pushed
         self.ask_pause = ASK_PAUSE
         self.stalled, self.idle_limit, self.limit_at = False, inf, 0.0  # stalled: just after a standstill
         self.idle_fine, self.fine_at = 0.0, 0.0  # the longest pause after which a part was answered, and when
@@ -216,7 +220,7 @@
     def _members(self, event: api.MembershipChanged) -> None:
         if event.kind is api.ListKind.FAILED:
             # Guards against counting as told by default: ask again, ever more slowly, out of step with peers.
-            again = self.ask_pause * self.random.uniform(0.5, 1.5)
+            again = min(self.ask_pause, self.ask_most) * self.random.uniform(0.5, 1.5)
             self._timer(again, lambda: self.actions.append(api.Subscribe()))
             self.ask_pause = min(2 * self.ask_pause, ASK_PAUSE_MOST)
             return
--- a/gingervane/startup.py
+++ b/gingervane/startup.py
@@ -98,6 +98,7 @@
             short_worth=per_class("Extra.ShortWorth", float, i),
         )
 
+    grace = maybe("Rules.StopSendingWithinS", number)
     tenants = range(need("Tenants.count", int) if "Tenants.count" in pairs else 0)
     return api.Settings(
         coordinators=need("Balancers", count),
@@ -122,4 +123,5 @@
         budget_free=maybe("Rules.BudgetFree", number),
         budget_share=maybe("Rules.ExtraRatio", number),
         budget_span=maybe("Rules.ResendSpanS", number),
+        drain_grace=inf if grace is None else grace,
     )
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,6 +9,7 @@
 import socket
 import threading
 from collections.abc import Callable, Iterator
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -32,11 +33,11 @@
 class Watched:
     """A watch with nothing behind it: what it tells, and the first two addresses that discovery has."""
 
-    def __init__(self) -> None:
+    def __init__(self, answered_within: float = PATIENCE) -> None:
         self.told, self.log = Waiter(), Waiter()
         self.here, self.there = Calls(), Calls()
         reader = ListReader(("a",), 0.0, self.log.put)
-        self.watch = Watch(self.here.where, reader, self.told.put, self.log.put)
+        self.watch = Watch(self.here.where, reader, self.told.put, self.log.put, answered_within)
         self.watch.start()
         self.watch.follow()
 
@@ -44,7 +45,8 @@
         """What has been told, oldest first: 'failed', or the state of the one replica."""
         kinds: list[t.Listed] = self.told.items
         return [
-            "failed" if listed.event.kind is api.ListKind.FAILED else listed.event.replicas[0].state.name
+            "failed" if listed.event.kind is api.ListKind.FAILED
+            else listed.event.replicas[0].state.name if listed.event.replicas else "no news"
             for listed in kinds
         ]
 
@@ -96,6 +98,34 @@
     assert watched.states() == ["failed", "DRAINING"]
 
 
+def test_a_call_is_given_up_sooner_where_lists_are_pushed_and_a_watch_is_not() -> None:
+    """A call that hung since before discovery came back kept what it has from being learned for 3 s."""
+    watched = Watched(0.2)
+    watched.here.sock(1)
+    watched.told.wait()
+    watched.watch.follow()
+    second = watched.here.sock(2)
+    second.sendall(HEAD + chunk(line(1, entry())))
+    watched.told.wait(2)
+    pause = threading.Event()
+    pause.wait(0.4)  # longer than a call may take, shorter than a watch may be silent
+    second.sendall(chunk(line(2, entry("DRAINING"))))
+    watched.told.wait(3)
+    assert watched.states() == ["failed", "READY", "DRAINING"] and len(watched.here.calls.items) == 2
+    watched.close()
+
+
+@pytest.mark.parametrize("grace", [None, 0.0, 0.4])
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_a_node_s_calls_may_take_the_grace_where_lists_are_pushed(
+    tmp_path: Path, mode: str, grace: float | None,
+) -> None:
+    rules = SETTINGS["Rules"] | ({} if grace is None else {"StopSendingWithinS": grace})
+    platform = Platform(tmp_path, settings=SETTINGS | {"MembershipMode": mode, "Rules": rules})
+    assert platform.node.watch._answered_within == (0.4 if mode == "push" and grace else inf)
+    platform.close()
+
+
 @pytest.mark.parametrize("mode", ["ask", "push"])
 def test_a_drain_made_while_the_watch_was_silent_is_kept(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, mode: str,
@@ -153,6 +183,22 @@
     assert watched.states()[3:] == ["failed", "READY"]
 
 
+def test_a_call_that_brings_no_news_has_succeeded(watched: Watched) -> None:
+    """It was not told: the pause before the next call was still that of the failures before it."""
+    watched.here.sock(1).sendall(HEAD + chunk(line(5, entry())))
+    watched.told.wait()
+    watched.here.sock(1).close()
+    watched.told.wait(2)
+    watched.watch.follow()
+    second = watched.here.sock(2)
+    second.sendall(HEAD + chunk(line(5, whole=False)))
+    watched.told.wait(3)
+    second.sendall(chunk(line(4, entry("DRAINING"), whole=False)))
+    second.sendall(chunk(line(6, entry("DRAINING"), whole=False)))
+    watched.told.wait(4)
+    assert watched.states() == ["READY", "failed", "no news", "DRAINING"], "what is older later on is nothing"
+
+
 def test_a_move_waits_for_no_pause_and_asks_for_all(watched: Watched) -> None:
     watched.here.sock(1).sendall(HEAD + chunk(line(9, entry())))
     watched.told.wait()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -353,29 +353,45 @@
     assert isinstance(host.ended[host.query(0)], api.Refuse)
 
 
+def pauses(host: Host, count: int) -> list[float]:
+    """Seconds from each of some failures in a row to the next wish for a subscription."""
+    found = []
+    for _ in range(count):
+        host.members(ListKind.FAILED)
+        before = host.now
+        while not any(isinstance(a, api.Subscribe) for a in host.wait(0.01)):
+            assert host.now < before + 6
+        found.append(host.now - before)
+    return found
+
+
 def test_subscribes_at_launch_and_again_after_failures_more_slowly_and_out_of_step() -> None:
-    """What was missed counts as told 6 s after discovery could be reached: a call may have hung 3 s by then,
-    and the next one's answer takes a while among many callers'."""
-    pauses = list[list[float]]()
+    """What a watch missed that ended instead of telling counts as told in less than 2 s, all else 6 s after
+    discovery could be reached: a call may have hung 3 s, and the next answer takes a while among many."""
+    found = list[list[float]]()
     for seed in range(20):
         host = Host(BASE._replace(must_ask_membership=True), seed=seed)
         assert host.log.count(api.Subscribe()) == 1
-        pauses.append([])
-        for _ in range(6):
-            host.members(ListKind.FAILED)
-            before = host.now
-            while not any(isinstance(a, api.Subscribe) for a in host.wait(0.01)):
-                assert host.now < before + 6
-            pauses[-1].append(host.now - before)
-    first, later = [times[0] for times in pauses], [pause for times in pauses for pause in times[1:]]
-    assert max(first + later) <= 6.0 - 3.0 - 0.9
-    assert sum(first) / len(first) < sum(later) / len(later), "more slowly"
-    assert max(first) - min(first) > 0.7 and max(later) - min(later) > 1.0, "out of step"
-    host.members(ListKind.FULL, *host.states.values())
-    host.members(ListKind.FAILED)
-    before = host.now
-    while not any(isinstance(a, api.Subscribe) for a in host.wait(0.01)):
-        assert host.now < before + 1.6, "after a list the pause is the first one's again"
+        found.append(pauses(host, 9))
+    first, later = [times[0] for times in found], [pause for times in found for pause in times[4:]]
+    assert max(first) <= 0.17, "at once, but for the spread"
+    assert max(max(times) for times in found) <= 6.0 - 3.0 - 0.9
+    assert max(sum(times[:3]) for times in found) <= 1.2, "three calls that failed leave time for a fourth"
+    for early, late in zip(range(3), range(1, 4), strict=True):
+        means = [sum(times[n] for times in found) for n in (early, late)]
+        assert means[0] < means[1], "ever more slowly"
+    assert max(first) > 2 * min(first) and max(later) - min(later) > 1.0, "out of step"
+    for rows in ((), tuple(host.states.values())):
+        pauses(host, 6)
+        host.members(ListKind.DELTA, *rows)
+        assert pauses(host, 1)[0] <= 0.17, "after a change, also of nothing, it is the first pause again"
+
+
+@pytest.mark.parametrize("grace", [0.0, 0.3, 1.5])
+def test_where_lists_are_pushed_a_failed_subscription_is_renewed_well_within_the_grace(grace: float) -> None:
+    """What is pushed counts as told at once when discovery is back, however long it was away."""
+    host = Host(BASE._replace(must_ask_membership=False, drain_grace=grace))
+    assert max(pauses(host, 12)) <= max(grace / 2, 0.03)
 
 
 def test_a_failed_call_keeps_the_old_list() -> None:
@@ -1199,3 +1215,4 @@
         assert [ref() for ref in over] == [None, None]
     finally:
         gc.enable()
+
