Pauses between calls of discovery grow by half at each failure, not to the double

Need: with six callers at once discovery takes three and refuses the others at once (503), at 0.285 s a call: the last list comes 1.71 s after the first call at best, and 2.2 s are left.

Change: the pause grows by half: 0.1, 0.15, 0.23, 0.34 s and so on to 4/3 s, which is reached at the seventh failure.

Refused calls cost no list lines.

--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -32,10 +32,11 @@
 BACKLOG, CROSSING = 0.35, 0.5  # of the time to the aim: age of the oldest call; calls that a crossing weighs
 PACED, PACE_FADES, SLOW = 3, 8.0, 2.5  # parts in a pace; its half-life, s; of peers' pace: left for them
 STALLED, EPSILON = 4, 1e-6  # batches' time that a timer may come late; of weights that the wire rounds
-# Seconds before a failed subscription is asked for again, doubled at each failure; a spread of half as much
-# on top. The first are short: of a watch that ended instead of telling, what it missed counts as told soon.
-# With the last, a call that hung for 3 s and the answer behind it stay within the 6 s that always hold.
-ASK_PAUSE, ASK_PAUSE_MOST = 0.1, 4 / 3
+# Seconds before a failed subscription is asked for again, longer at each failure; a spread of half as much.
+# The first are short and grow little: of a watch that ended instead of telling, what it missed counts as told
+# soon, and of many that ask then some are refused. With the last, a call that hung for 3 s and the answer
+# behind it stay within the 6 s that always hold.
+ASK_PAUSE, ASK_GROWTH, ASK_PAUSE_MOST = 0.1, 1.5, 4 / 3
 PUSHED = 4  # where lists are pushed: such a part of the grace at most, as all counts as told at once
 
 
@@ -222,7 +223,7 @@
             # Guards against counting as told by default: ask again, ever more slowly, out of step with peers.
             again = min(self.ask_pause, self.ask_most) * self.random.uniform(0.5, 1.5)
             self._timer(again, lambda: self.actions.append(api.Subscribe()))
-            self.ask_pause = min(2 * self.ask_pause, ASK_PAUSE_MOST)
+            self.ask_pause = min(ASK_GROWTH * self.ask_pause, ASK_PAUSE_MOST)
             return
         self.ask_pause = ASK_PAUSE
         if event.kind is not api.ListKind.DELTA:
