One stand-in for a replica that stops reading; a watcher stopped before it ran makes no call

Two tests of half-written frames set up the same small buffers and the same unread replica, line for line. And the loop of the Consul watcher, rewritten so that it closes its connection, made one call even where it had been stopped before it ran, which it had not done before.

Change: `stops_reading` in tests/test_crossings.py serves both tests; their assertions are as they were. The watcher asks whether it was stopped before each call again. Left, as alike in shape only: the starts of two tests of connections, and of two parametrized tests of waiting parts.

--- a/gingervane/membership/watcher.py
+++ b/gingervane/membership/watcher.py
@@ -92,8 +92,8 @@
         self._stop.set()
 
     def _run(self) -> None:
-        while not self._stop.wait(self._turn()):
-            pass
+        while not self._stop.is_set():
+            self._stop.wait(self._turn())
         self._pool.close()  # guards an agent that ends with us against waiting for a connection nobody uses
 
     def _turn(self) -> float:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,7 +20,6 @@
 from gingervane.coordinator.driver import Driver
 from gingervane.interface import Outcome, Semantics
 from gingervane.node import config as configuration
-from gingervane.node import links as links_module
 from gingervane.node.links import FrameTravel, LinkLimits, Links, _Link
 from gingervane.node.service import Lines
 from gingervane.policy import Coordinator
@@ -71,6 +70,21 @@
     return [part.id for replica in replicas for part in replica.parts.items]
 
 
+def stops_reading(patch: pytest.MonkeyPatch) -> Replica:
+    """A replica that does not read yet, behind buffers so small that a long frame leaves in part."""
+    connect = _Link.connect
+
+    def small(self: _Link) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        connect(self)
+
+    patch.setattr(_Link, "connect", small)
+    replica = Replica(0)
+    replica._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    replica.reading.clear()
+    return replica
+
+
 def send(links: Links, replica: Replica, number: int, name: str) -> t.Call:
     """One part, in the place of the decision thread; back once its replica has it."""
     errand, where = t.Errand(number, 0, Asked(name, 0, "", b"x"), Semantics.SAFE), ("127.0.0.1", replica.port)
@@ -230,16 +244,7 @@
 def test_a_frame_that_has_left_in_part_is_not_finished_for_a_client_that_has_gone(
     tmp_path: Path, settled: Waiter, monkeypatch: pytest.MonkeyPatch, cancelling: bool,
 ) -> None:
-    connect = _Link.connect
-
-    def small(self: _Link) -> None:
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        connect(self)
-
-    monkeypatch.setattr(links_module._Link, "connect", small)
-    replica = Replica(0)
-    replica._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    replica.reading.clear()
+    replica = stops_reading(monkeypatch)
     platform = Platform(tmp_path, replica, settings=with_limits(Cancelling=cancelling))
     sock = platform.client()
     text = json.dumps({"tablets": [{"tablet": 0, "fraction": 1}], "statement": "x" * 60000})
@@ -319,16 +324,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """An attempt counts from its frame's last byte: that came when its window or budget's span was over."""
-    connect = _Link.connect
-
-    def small(self: _Link) -> None:
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        connect(self)
-
-    monkeypatch.setattr(_Link, "connect", small)
-    replica, told = Replica(0, lambda wire, part: None), Waiter()
-    replica._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    replica.reading.clear()
+    replica, told = stops_reading(monkeypatch), Waiter()
     links = Links(LinkLimits(streams=4, links=4, idle=PATIENCE, connect=PATIENCE), told.put)
     now, where = time.monotonic(), ("127.0.0.1", replica.port)
     errand = t.Errand(1, 1, Asked("a.0", 0, "", b"x" * 60000), Semantics.KEYED)
