Logs with times, names and reasons, and counters by reason, for the node

Need: the incident's logs had no time, replicas as hashes, no settings, and nothing on why a query or connection ended. Change: node/telemetry.py (key=value lines with wall and monotonic clock, written by a thread of its own; bounded in number and rate, losses counted; counters every 10 s, on SIGUSR1 and at the end). The module gives a reason from a closed set with each ending; ejection and reinstatement are typed actions; connections of replicas and clients, the watch and the list log their state transitions. listens tells the real port. No decision changed.

--- a/gingervane/benchlink.py
+++ b/gingervane/benchlink.py
@@ -76,8 +76,16 @@
         case api.TellPeers(payload):
             return struct.pack("<BIH", 71, 0xFFFFFFFF, len(payload)) + payload
         case api.Remark(text):
-            raw = text.encode()
-            return struct.pack("<BH", 72, len(raw)) + raw
+            return _remark(text)
+        case api.ReplicaEjected(replica, seconds, reason):
+            return _remark(f"replica {replica} ejected for {seconds:g} s: {reason.value}")
+        case api.ReplicaReinstated(replica):
+            return _remark(f"replica {replica} reinstated")
+
+
+def _remark(text: str) -> bytes:
+    raw = text.encode()
+    return struct.pack("<BH", 72, len(raw)) + raw
 
 
 def encode_fault(error: BaseException) -> bytes:
--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -18,7 +18,7 @@
 from gingervane import interface as api
 from gingervane.coordinator import types as t
 from gingervane.coordinator.advice import Advice
-from gingervane.coordinator.driver import Driver, Module
+from gingervane.coordinator.driver import Counts, Driver, Module
 from gingervane.coordinator.sender import SenderLimits, Senders
 from gingervane.policy import Coordinator
 from gingervane.wire.pool import Pool
@@ -146,6 +146,8 @@
 
     def remark(self, text: str) -> None: ...
 
+    def health(self, change: api.HealthChange) -> None: ...
+
     def broke(self, error: BaseException) -> None: ...
 
 
@@ -209,7 +211,7 @@
         self._thread.start()
 
     @property
-    def driver_counts(self) -> object:
+    def driver_counts(self) -> Counts:
         """The driver's running totals; a reader may see one of them a step ahead of another."""
         return self._driver.counts
 
@@ -314,6 +316,8 @@
                     settled(final)
                 case t.Note(text):
                     self.observer.remark(text)
+                case t.HealthChanged(change):
+                    self.observer.health(change)
                 case t.Subscribe():
                     self._outside.subscribe()
                 case t.Tell(payload):
@@ -322,7 +326,9 @@
             self._inbox.put(list(refused))
 
     def _fail_all(self) -> None:
-        failed = t.Final(t.Verdict.FAILED, why="internal: the decision thread broke")
+        failed = t.Final(
+            t.Verdict.FAILED, why="internal: the decision thread broke", reason=api.EndReason.INTERNAL
+        )
         for query in self._driver.abandon():
             query(failed)
         while not self._stop.is_set() or not self._inbox.empty():
--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -71,6 +71,11 @@
     batches: int = 0
     verdicts: dict[str, int] = field(default_factory=dict)
     outcomes: dict[str, int] = field(default_factory=dict)
+    reasons: dict[str, int] = field(default_factory=dict)  # `api.EndReason` of settled queries
+
+    def totals(self) -> dict[str, int]:
+        """The plain totals, by name."""
+        return {name: value for name, value in vars(self).items() if isinstance(value, int)}
 
 
 class Module(Protocol):
@@ -145,7 +150,8 @@
         if events:
             self._carry_out(now, self._module.handle(now, events), effects)
         for query, (verdict, why) in closing.items():
-            self._settle(now, query, verdict, effects, why=why)
+            reason = api.EndReason.CLIENT_LEFT if verdict is t.Verdict.LEFT else api.EndReason.SHUTDOWN
+            self._settle(now, query, verdict, reason, effects, why=why)
         # What was called off in the batch that made it never leaves.
         effects = [e for e in effects if not isinstance(e, t.Start) or e.call.live]
         for effect in effects:
@@ -297,17 +303,19 @@
                     self._again += self._end_here(now, part, attempt, api.Outcome.CANCELLED, "", effects)
                 case api.SetTimer(delay, label):
                     self._timers.add(now + delay, label)
-                case api.Answer(query, whole):
-                    self._answer(now, query, whole, effects)
-                case api.Refuse(query, wait):
-                    self._settle(now, query, t.Verdict.REFUSED, effects, wait)
-                case api.Fail(query):
-                    self._settle(now, query, t.Verdict.FAILED, effects)
+                case api.Answer(query, whole, reason):
+                    self._answer(now, query, whole, reason, effects)
+                case api.Refuse(query, wait, reason):
+                    self._settle(now, query, t.Verdict.REFUSED, reason, effects, wait)
+                case api.Fail(query, reason):
+                    self._settle(now, query, t.Verdict.FAILED, reason, effects)
                 case api.CloseIdle(replica):
                     if replica in self._addresses:
                         effects.append(t.DropIdle(self._addresses[replica]))
                 case api.Remark(text):
                     effects.append(t.Note(text))
+                case api.ReplicaEjected() | api.ReplicaReinstated():
+                    effects.append(t.HealthChanged(action))
                 case api.Subscribe():
                     effects.append(t.Subscribe())
                 case api.TellPeers(payload):
@@ -349,26 +357,30 @@
         attempt.call = call
         self._timers.add(stop_at, (number, attempt.number))
 
-    def _answer(self, now: float, number: int, whole: bool, effects: list[t.Effect]) -> None:
+    def _answer(
+        self, now: float, number: int, whole: bool, reason: api.EndReason, effects: list[t.Effect],
+    ) -> None:
         query = self._queries.get(number)
         if query and whole and len(query.results) < len(query.asked):
             if self._settings.classes[query.arrived.plan.query_class].whole_share < 1.0:
                 # As good as whole for its class; what is missing is said all the same.
-                self._answer_step(now, query, t.Verdict.SHORT, whole, effects)
+                self._answer_step(now, query, t.Verdict.SHORT, whole, reason, effects)
                 return
             # The module counted what is not here. It cannot happen; were it to, no one gets a false answer.
-            self._settle(now, number, t.Verdict.FAILED, effects, why="internal: a part of a whole answer is missing")
+            missing = "internal: a part of a whole answer is missing"
+            self._settle(now, number, t.Verdict.FAILED, api.EndReason.NOT_COVERED, effects, why=missing)
             return
         if query:
-            self._answer_step(now, query, t.Verdict.WHOLE if whole else t.Verdict.SHORT, whole, effects)
+            self._answer_step(now, query, t.Verdict.WHOLE if whole else t.Verdict.SHORT, whole, reason, effects)
 
     def _answer_step(
-        self, now: float, query: _Query, verdict: t.Verdict, whole: bool, effects: list[t.Effect],
+        self, now: float, query: _Query, verdict: t.Verdict, whole: bool, reason: api.EndReason,
+        effects: list[t.Effect],
     ) -> None:
         """The end of the query, or of its first step where the class has a second one."""
         plan, first = query.arrived.plan, query.results
         if plan.second_step is None or query.second:
-            self._settle(now, query.id, verdict, effects, whole=whole)
+            self._settle(now, query.id, verdict, reason, effects, whole=whole)
             return
         query.second, query.results = True, {}
         for part in query.parts:
@@ -376,8 +388,8 @@
         self._again += self._ask(query, plan.second_step(first, whole), len(plan.parts))
 
     def _settle(
-        self, now: float, number: int, verdict: t.Verdict, effects: list[t.Effect], wait: float = 0.0, why: str = "",
-        whole: bool = False,
+        self, now: float, number: int, verdict: t.Verdict, reason: api.EndReason, effects: list[t.Effect],
+        wait: float = 0.0, why: str = "", whole: bool = False,
     ) -> None:
         query = self._queries.pop(number, None)
         if query is None:
@@ -389,7 +401,11 @@
         size = query.held_bytes if answered else 0
         if not query.path and verdict is t.Verdict.REFUSED and not why:
             why = "nothing was sent: too much is waiting, or a part has no replica that may be asked"
-        final = t.Final(verdict, results, wait, why or query.why, query.path, min(coverage, 1.0), size, whole)
+        final = t.Final(
+            verdict, results, wait, why or query.why, query.path, min(coverage, 1.0), size, whole, reason,
+            2 if query.second else 1, len(query.asked), len(query.results),
+        )
+        self.counts.reasons[reason.value] = self.counts.reasons.get(reason.value, 0) + 1
         self.counts.verdicts[verdict.value] = self.counts.verdicts.get(verdict.value, 0) + 1
         effects.append(t.Settle(query.arrived.settled, final, number))
         for part in query.parts:
--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -115,6 +115,10 @@
     coverage: float = 0.0  # share of the weight that is in
     held_bytes: int = 0
     marked_whole: bool = False
+    reason: api.EndReason = api.EndReason.UNSTATED
+    step: int = 1  # in which it ended
+    asked: int = 0  # parts of that step
+    parts_in: int = 0  # of those, answered; also where the verdict gives no results
 
 
 # Where a query's one final answer goes. Called once, on the decision thread; must not block.
@@ -264,6 +268,12 @@
     text: str
 
 
+class HealthChanged(NamedTuple):
+    """A replica was ejected or reinstated: a line for the log."""
+
+    change: api.HealthChange
+
+
 class Subscribe(NamedTuple):
     """Ask for membership changes to be pushed from now on."""
 
@@ -274,4 +284,4 @@
     payload: bytes
 
 
-Effect = Start | CallOff | Withdraw | DropIdle | Settle | Note | Subscribe | Tell
+Effect = Start | CallOff | Withdraw | DropIdle | Settle | Note | HealthChanged | Subscribe | Tell
--- a/gingervane/daemon/app.py
+++ b/gingervane/daemon/app.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import Any
 
 from gingervane import interface as api
 from gingervane.coordinator import types as t
@@ -53,6 +54,7 @@
             told(
                 "query settled", query=query, query_class=plan.tag, verdict=verdict, seconds=round(seconds, 4),
                 parts=len(plan.parts), coverage=round(final.coverage, 4), attempts=len(final.path),
+                reason=final.reason.value,
                 further=sum(step.attempt > 0 for step in final.path), why=final.why,
             )
 
@@ -66,10 +68,20 @@
     def remark(self, text: str) -> None:
         self._log.info("remark", text=text)
 
+    def health(self, change: api.HealthChange) -> None:
+        _log_health(self._log, change)
+
     def broke(self, error: BaseException) -> None:
         self._log.error("decision thread broke", exc_info=error)
 
 
+def _log_health(log: Any, change: api.HealthChange) -> None:
+    if isinstance(change, api.ReplicaEjected):
+        log.info("replica ejected", replica=change.replica, seconds=change.seconds, reason=change.reason.value)
+    else:
+        log.info("replica reinstated", replica=change.replica)
+
+
 class _Branches:
     """What passes between this co-ordinator and its children: remarks in the log, the rest in metrics."""
 
@@ -89,6 +101,9 @@
     def remark(self, text: str) -> None:
         self._log.info("remark", text=text.replace("replica", "co-ordinator"))
 
+    def health(self, change: api.HealthChange) -> None:
+        _log_health(self._log, change)
+
     def broke(self, error: BaseException) -> None:
         self._log.error("decision thread of the tree broke", exc_info=error)
 
@@ -114,6 +129,9 @@
     def remark(self, text: str) -> None:
         self._log.info("remark", core=self._core, text=text)
 
+    def health(self, change: api.HealthChange) -> None:
+        _log_health(self._log.bind(core=self._core), change)
+
     def broke(self, error: BaseException) -> None:
         self._log.error("decision thread broke", core=self._core, exc_info=error)
 
--- a/gingervane/daemon/metrics.py
+++ b/gingervane/daemon/metrics.py
@@ -64,7 +64,8 @@
             for name in ("queries", "parts", "attempts", "further", "calls", "late_endings", "withheld", "batches"):
                 yield CounterMetricFamily(f"gingervane_{name}", f"{name} so far", value=getattr(counts, name))
             for name, label, table in (
-                ("answers", "verdict", counts.verdicts), ("endings", "outcome", counts.outcomes)
+                ("answers", "verdict", counts.verdicts), ("endings", "outcome", counts.outcomes),
+                ("settled", "reason", counts.reasons),
             ):
                 family = CounterMetricFamily(f"gingervane_{name}", f"{name} so far", labels=[label])
                 for key, value in list(table.items()):
--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -21,6 +21,7 @@
 import socket
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from enum import Enum
 from math import inf
@@ -45,6 +46,21 @@
     quiet: float
 
 
+class ConnectionEnd(Enum):
+    """Why a client's connection was ended from this side, or found ended."""
+
+    IDLE = "idle"
+    SILENT = "no first byte"
+    CROWDED = "crowded"
+    NO_ROOM = "made room"
+    OVER_LIMIT = "over the limit"
+    NO_THREAD = "no thread"
+    AFTER_REPLY = "after its reply"
+    SHUTDOWN = "shutdown"
+    CLIENT_LEFT = "client left"
+    BROKEN = "broken at work"
+
+
 class After(Enum):
     """What becomes of a connection after work on it. `GONE`: there is nobody to end it with."""
 
@@ -96,6 +112,7 @@
         self._paused_to = 0.0
         self._accepting, self._winding_down, self._stopped = True, False, threading.Event()
         self.refused = 0  # past the bound
+        self.ends: Counter[str] = Counter()  # by `ConnectionEnd`; changed under the lock
 
     @property
     def winding_down(self) -> bool:
@@ -116,7 +133,7 @@
         with self._lock:
             self._winding_down = True
             for one in [*self._silent, *self._quiet]:
-                self._end_at_rest(one)
+                self._end_at_rest(one, ConnectionEnd.SHUTDOWN)
 
     def stop_accepting(self) -> None:
         """Wind down, and take no new connection but those that the system has taken already."""
@@ -197,9 +214,12 @@
         with self._lock:
             for one in [one for one in self._ending if one._until <= now]:
                 self._close(one)
-            for some, longest in ((self._silent, bounds.silent or bounds.idle), (self._quiet, bounds.idle)):
+            for some, longest, reason in (
+                (self._silent, bounds.silent or bounds.idle, ConnectionEnd.SILENT),
+                (self._quiet, bounds.idle, ConnectionEnd.IDLE),
+            ):
                 for one in [one for one in some if one.since + longest <= now]:
-                    self._end_at_rest(one)
+                    self._end_at_rest(one, reason)
             if self._accepting and self._paused_to and self._paused_to <= now:
                 self._paused_to = 0.0
                 self._poll.modify(self._number, select.EPOLLIN | select.EPOLLONESHOT)
@@ -235,7 +255,7 @@
             self.refused += 1
             with contextlib.suppress(OSError):
                 sock.send(self._turned_away)
-            self._end(one)
+            self._end(one, ConnectionEnd.OVER_LIMIT)
             return
         self._silent[one] = None
         self._arm(one)
@@ -243,13 +263,13 @@
             # The two that have rested the longest: more than come, so that a crowd shrinks.
             before = time.monotonic() - self._bounds.quiet
             for quiet in [quiet for quiet in _first(self._quiet, 2) if quiet.since < before]:
-                self._end_at_rest(quiet)
+                self._end_at_rest(quiet, ConnectionEnd.CROWDED)
 
     def _make_room(self) -> bool:
         """End the oldest connection that has said nothing. Guards against hundreds of those keeping all out."""
         if self._bounds.silent is None:  # here a connection may be quiet before it speaks
             return False
-        return any(self._end_at_rest(one) for one in list(self._silent))
+        return any(self._end_at_rest(one, ConnectionEnd.NO_ROOM) for one in list(self._silent))
 
     def _arm(self, one: Connection) -> None:
         """Have the next thing that its phase waits for told once."""
@@ -261,6 +281,7 @@
         if (found := _unread(one.sock)) is None:
             self._arm(one)
         elif not found:
+            self.ends[ConnectionEnd.CLIENT_LEFT.value] += 1
             self._close(one)
         else:
             self._silent.pop(one, None)
@@ -268,16 +289,18 @@
             one._phase, one.began = _Phase.AT_WORK, time.monotonic()
         return bool(found)
 
-    def _end_at_rest(self, one: Connection) -> bool:
+    def _end_at_rest(self, one: Connection, reason: ConnectionEnd) -> bool:
         """End a resting connection, unless a request has come on it: that is served."""
         if (found := _unread(one.sock)) is None:
-            self._end(one)
+            self._end(one, reason)
         elif not found:
+            self.ends[ConnectionEnd.CLIENT_LEFT.value] += 1
             self._close(one)
         return not found
 
-    def _end(self, one: Connection) -> None:
+    def _end(self, one: Connection, reason: ConnectionEnd) -> None:
         """Say that nothing more comes from here, and throw away what still comes for a while."""
+        self.ends[reason.value] += 1
         self._silent.pop(one, None)
         self._quiet.pop(one, None)
         one._phase, one._until = _Phase.ENDING, time.monotonic() + LINGER
@@ -339,7 +362,7 @@
                 self.refused += 1
                 with contextlib.suppress(OSError):
                     one.sock.send(self._turned_away)
-                self._end(one)
+                self._end(one, ConnectionEnd.NO_THREAD)
 
     def _labour(self, one: Connection | None) -> None:
         while one:
@@ -367,9 +390,11 @@
         with self._lock:
             one._gone, one.since = _nobody, time.monotonic()
             if after is After.GONE:
+                self.ends[ConnectionEnd.BROKEN.value] += 1
                 self._close(one)
             elif after is After.END or self._winding_down:
-                self._end(one)  # also where winding down began after its reply was written
+                # Also where winding down began after its reply was written.
+                self._end(one, ConnectionEnd.AFTER_REPLY if after is After.END else ConnectionEnd.SHUTDOWN)
             else:
                 one._phase = _Phase.RESTING
                 one.sock.setblocking(False)
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -10,7 +10,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple, Protocol
 
 from gingervane.coordinator import standstill
@@ -151,6 +151,11 @@
         """Those that are not at their end."""
         return len(self._connections)
 
+    @property
+    def ends(self) -> Mapping[str, int]:
+        """Connections ended, by `ConnectionEnd`."""
+        return self._connections.ends
+
     @property
     def refused(self) -> int:
         """Connections past the bound."""
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from enum import Enum
 from math import inf
 from typing import NamedTuple
@@ -52,6 +53,42 @@
         return self in (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NEVER_SENT)
 
 
+class EjectionReason(Enum):
+    """Why a replica was ejected from selection for a while."""
+
+    ERROR = Outcome.ERROR.value
+    REJECTED = Outcome.REJECTED.value
+    TIMED_OUT = Outcome.TIMED_OUT.value
+    CONNECT_FAILED = Outcome.CONNECT_FAILED.value
+    RESET = Outcome.RESET.value
+    SILENCE = "silence"
+    LOST_TO_HEDGE = "overtaken by a copy"
+    PEER_REPORTS = "peer reports"
+
+
+class EndReason(Enum):
+    """Why a query ended as it did: the closed set that logs and counters use.
+
+    The decision module gives the first group, its host the second.
+    """
+
+    UNSTATED = "unstated"
+    ALL_PARTS = "all parts in"
+    WHOLE_SHARE = "whole share in"
+    SHORT_AT_AIM = "short at the aim"
+    SHORT_NO_MORE = "short, no further part can come"
+    SHORT_AT_DEADLINE = "short at the deadline"
+    DEADLINE = "deadline"
+    PARTS_LOST = "too many parts lost"
+    NO_REPLICA = "no replica may be asked"
+    OVERLOAD = "load shedding"
+
+    SHUTDOWN = "shutdown"
+    CLIENT_LEFT = "client left"
+    NOT_COVERED = "answer check failed"
+    INTERNAL = "internal error"
+
+
 class QueryClass(NamedTuple):
     aim: float
     deadline: float
@@ -189,20 +226,30 @@
     replica: int
 
 
-class Answer(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """End the present step with the parts that are in. `reason` takes no part in comparisons."""
+
     query: int
     whole: bool
+    reason: EndReason = field(default=EndReason.UNSTATED, compare=False)
 
 
-class Refuse(NamedTuple):
-    """Trying again is harmless; `come_again_in` of 0 gives no advice."""
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Trying again is harmless; `come_again_in` (seconds) of 0 gives no advice."""
 
     query: int
     come_again_in: float
+    reason: EndReason = field(default=EndReason.UNSTATED, compare=False)
 
 
-class Fail(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """End the query without an answer and without a promise."""
+
     query: int
+    reason: EndReason = field(default=EndReason.UNSTATED, compare=False)
 
 
 class SetTimer(NamedTuple):
@@ -226,4 +273,20 @@
     text: str
 
 
-Action = Send | Cancel | CloseIdle | Answer | Refuse | Fail | SetTimer | Subscribe | TellPeers | Remark
+class ReplicaEjected(NamedTuple):
+    """A replica's state change, for the log: out of selection for `seconds`."""
+
+    replica: int
+    seconds: float
+    reason: EjectionReason
+
+
+class ReplicaReinstated(NamedTuple):
+    """A replica's state change, for the log: back in selection."""
+
+    replica: int
+
+
+HealthChange = ReplicaEjected | ReplicaReinstated
+Ending = Answer | Refuse | Fail
+Action = Send | Cancel | CloseIdle | Ending | SetTimer | Subscribe | TellPeers | Remark | HealthChange
--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -19,6 +19,7 @@
 import socket
 import time
 from collections.abc import Callable
+from enum import Enum
 from math import inf
 from threading import Condition, Thread
 from typing import Any
@@ -28,6 +29,7 @@
 from gingervane import interface as api
 from gingervane.coordinator import types as t
 from gingervane.node.config import Address, parse_address
+from gingervane.node.telemetry import Log
 from gingervane.wire import http1
 from gingervane.wire.http1 import Closed, HttpError, Limits, Reader
 from gingervane.wire.json_values import JsonValues, TooLong
@@ -36,9 +38,18 @@
 _STATES = {
     "SERVING": api.ReplicaState.READY, "DRAINING": api.ReplicaState.DRAINING, "DELETED": api.ReplicaState.GONE,
 }
+_MOST_NAMES = 8192  # of replicas, kept for logs; the oldest go first
 _MOST_VALUE = 1 << 20  # bytes; a list of 1,024 replicas takes 400 to 600 for each, indented
 
 
+class WatchState(Enum):
+    """What the watch is doing."""
+
+    IDLE = "idle"  # nobody wants changes, or the module has yet to say when to call again
+    CALLING = "calling"  # a call is under way
+    FOLLOWING = "following"  # a list or a change has come on it
+
+
 class ListError(Exception):
     """Something that discovery sent and that cannot be used."""
 
@@ -51,10 +62,15 @@
 class ListReader:
     """Turns discovery's lists into the driver's input. `clock_offset`: this clock's seconds less Unix time."""
 
-    def __init__(self, zones: tuple[str, ...], clock_offset: float, log: Callable[[str], None]) -> None:
+    def __init__(self, zones: tuple[str, ...], clock_offset: float, log: Log) -> None:
         self._zones, self._offset, self._log = zones, clock_offset, log
+        self._hosts: dict[int, str] = {}
         self.version = 0
 
+    def host(self, replica: int) -> str:
+        """The name of a replica, for logs. Any thread; a replica long gone is told by its number."""
+        return self._hosts.get(replica, str(replica))
+
     def read(self, data: Any, cached: bool = False, anew: bool = False) -> t.Listed | None:
         """A list or its changes; None for one that is older than what is held. Raises ListError.
 
@@ -74,17 +90,35 @@
         # Of a replica that stands there twice the last word counts, alone. Guards against one that is gone and back
         # in the same change: by the first word its address was dropped, by the second it was sent to.
         found: dict[int, tuple[api.Replica, Address | None]] = {}
+        names: dict[int, str] = {}
         for entry in hosts:
             try:
                 replica, where = self._entry(entry)
             except (TypeError, KeyError, ValueError) as error:
-                self._log(f"discovery: entry skipped: {type(error).__name__}: {error}: {str(entry)[:200]}")
+                self._log("list_entry_skipped", error=f"{type(error).__name__}: {error}", entry=str(entry)[:200])
                 continue
             found[replica.id] = replica, where
+            names[replica.id] = str(entry["host"])
+        self._remember(names, whole)
+        for replica, _ in found.values():
+            if not whole or replica.state is not api.ReplicaState.READY:
+                self._log(
+                    "replica_listed", replica=self.host(replica.id), state=replica.state, version=version,
+                    started_at=replica.started_at,
+                )
+        self._log("list_read", version=version, whole=whole, cached=cached, replicas=len(found))
         kind = api.ListKind.CACHED if cached else api.ListKind.FULL if whole else api.ListKind.DELTA
         addresses = {number: where for number, (_, where) in found.items() if where}
         return t.Listed(api.MembershipChanged(kind, tuple(replica for replica, _ in found.values())), addresses)
 
+    def _remember(self, names: dict[int, str], whole: bool) -> None:
+        """Keep names for the log; those that a whole list does not hold are forgotten, which bounds the memory."""
+        if not whole:
+            names = self._hosts | names
+            while len(names) > _MOST_NAMES:
+                del names[next(iter(names))]
+        self._hosts = names
+
     def _entry(self, entry: Any) -> tuple[api.Replica, Address | None]:
         if not isinstance(entry, dict):
             raise TypeError("no object")
@@ -105,7 +139,7 @@
     """Follows discovery."""
 
     def __init__(
-        self, where: Address, reader: ListReader, tell: Callable[[t.Listed], None], log: Callable[[str], None],
+        self, where: Address, reader: ListReader, tell: Callable[[t.Listed], None], log: Log,
         answered_within: float = inf,
     ) -> None:
         """`answered_within`: seconds for a call up to its first line, if fewer than `SILENCE`."""
@@ -116,6 +150,13 @@
         self._calling = False  # a call is under way, or its watch
         self._owed = False  # the module has been told of a failure and will say when to call again
         self._sock: socket.socket | None = None
+        self._state = WatchState.IDLE  # of the watch's own thread
+
+    def _becomes(self, state: WatchState, reason: str = "") -> None:
+        if state is not self._state:
+            old, self._state = self._state, state
+            where = f"{self._where[0]}:{self._where[1]}"
+            self._log("watch_state", old=old, new=state, reason=reason, discovery=where)
 
     def start(self) -> None:
         Thread(target=self._run, name="discovery", daemon=True).start()
@@ -160,16 +201,18 @@
                     self._reader.version = 0
                 self._wanted = self._moved = False
                 self._calling, where = True, self._where
+            self._becomes(WatchState.CALLING, f"since={self._reader.version}")
             try:
                 self._follow(where)
             except (OSError, HttpError, Closed, ListError, TooLong) as error:
                 what = str(error) or type(error).__name__
             with self._change:
                 self._calling = False
-                if self._moved or self._stopped:
-                    continue
-                owed, self._owed = self._owed, True
-            self._log(f"discovery: watch at {where[0]}:{where[1]} ended: {what}")
+                moved = self._moved or self._stopped
+                owed, self._owed = self._owed, self._owed or not moved
+            self._becomes(WatchState.IDLE, "moved" if moved else what)
+            if moved:
+                continue
             if not owed:  # the module says when to ask again; one pause at a time, so that calls do not add up
                 self._tell(t.Listed(api.MembershipChanged(api.ListKind.FAILED, ()), {}))
 
@@ -233,8 +276,9 @@
                 raise ListError(f"no JSON value: {value[:100]!r}")
             listed = self._reader.read(orjson.loads(value), anew=anew)
         except (orjson.JSONDecodeError, ListError) as error:
-            self._log(f"discovery: value skipped: {error}")
+            self._log("list_value_skipped", error=str(error))
             return False
+        self._becomes(WatchState.FOLLOWING)
         if listed:
             self._tell(listed)
         return True
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -5,11 +5,15 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import signal
 import sys
 import threading
 import time
+import traceback
+from collections import Counter
+from collections.abc import Callable
 from math import inf
 from pathlib import Path
 
@@ -22,8 +26,9 @@
 from gingervane.node.clients import ClientFront
 from gingervane.node.config import Config, ConfigError
 from gingervane.node.discovery import ListError, ListReader, Watch, clock_offset
-from gingervane.node.links import SPARE, LinkLimits, Links
+from gingervane.node.links import SPARE, LinkEnded, LinkLimits, Links
 from gingervane.node.peers import Peers
+from gingervane.node.telemetry import Telemetry
 from gingervane.policy import Coordinator
 from gingervane.wire.http1 import Limits
 from gingervane.wire.tap import TAP
@@ -33,51 +38,96 @@
 LAST_ANSWERS = 0.3  # seconds before SIGKILL may come, by when all that is still open has been answered
 OWN_DESCRIPTORS = 24  # the listener, discovery, datagrams, epoll, standard streams, and some to spare
 LAST_WRITES = 0.25  # of them, to write the replies and to have them read, before the process takes them with it
-_SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+_SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1}  # SIGUSR1: write the counters
 
 
-def log(text: str) -> None:
-    sys.stderr.write(text + "\n")
-    sys.stderr.flush()
+class CoreLog:
+    """What the core tells of: counters for all of it, lines for what went wrong and for what changed.
 
+    `host` names a replica. Called on the decision thread.
+    """
 
-class Lines:
-    """What the core tells an operator: few lines, nothing for each query."""
+    def __init__(self, telemetry: Telemetry, class_names: tuple[str, ...], host: Callable[[int], str]) -> None:
+        self._telemetry, self._classes, self._host = telemetry, class_names, host
 
     def settled(self, query: int, plan: t.QueryPlan, final: t.Final, seconds: float) -> None:
+        verdict = final.verdict
+        self._telemetry.counters.add(f"queries_{verdict.value}", final.reason)
         if TAP.on:
-            TAP.put("settled", 0, 0, query=plan.tag, verdict=final.verdict.value, seconds=seconds, why=final.why)
+            TAP.put("settled", 0, 0, query=plan.tag, verdict=verdict.value, seconds=seconds, why=final.why)
+        if final.reason in _MUST_NOT_HAPPEN:
+            write = self._telemetry.error
+        elif verdict in _WORTH_A_LINE and final.reason is not api.EndReason.OVERLOAD:
+            write = self._telemetry.info
+        elif self._telemetry.debug_on:
+            write = self._telemetry.debug
+        else:
+            return
+        ends = Counter(step.outcome for step in final.path)
+        write(
+            "query_settled", request=plan.tag, query=query, query_class=self._classes[plan.query_class],
+            verdict=verdict, reason=final.reason, step=final.step, parts=final.asked, parts_in=final.parts_in,
+            coverage=final.coverage, marked_whole=final.marked_whole, seconds=seconds,
+            attempts=" ".join(f"{count}x{outcome}" for outcome, count in ends.items()), detail=final.why,
+        )
 
     def attempt(self, outcome: api.Outcome, replica: int, seconds: float) -> None:
         if TAP.on:
             TAP.put("told", 0, 0, outcome=outcome.value, replica=replica, seconds=seconds)
+        if self._telemetry.debug_on:
+            self._telemetry.debug("attempt_ended", replica=self._host(replica), outcome=outcome, seconds=seconds)
 
     def remark(self, text: str) -> None:
-        log(text)
+        self._telemetry.info("remark", text=text)
+
+    def health(self, change: api.HealthChange) -> None:
+        replica = self._host(change.replica)
+        if isinstance(change, api.ReplicaEjected):
+            self._telemetry.counters.add("replicas_ejected", change.reason)
+            self._telemetry.info(
+                "replica_ejected", replica=replica, seconds=change.seconds, reason=change.reason
+            )
+        else:
+            self._telemetry.counters.add("replicas_reinstated", "any")
+            self._telemetry.info("replica_reinstated", replica=replica)
 
     def broke(self, error: BaseException) -> None:
-        log(f"the decision thread broke: {type(error).__name__}: {error}")
+        trace = "".join(traceback.format_exception(error))
+        self._telemetry.error("decision_thread_broke", error=f"{type(error).__name__}: {error}", trace=trace)
+
+
+# Verdicts that get a line each (load shedding is only counted), and ends that show a fault of this program.
+_WORTH_A_LINE = frozenset({t.Verdict.SHORT, t.Verdict.FAILED, t.Verdict.REFUSED})
+_MUST_NOT_HAPPEN = frozenset({api.EndReason.NOT_COVERED, api.EndReason.INTERNAL, api.EndReason.UNSTATED})
 
 
 class Node:
-    def __init__(self, path: Path, config: Config) -> None:
+    def __init__(self, path: Path, config: Config, telemetry: Telemetry | None = None) -> None:
+        """`telemetry`: one of its own, already started, if none is given."""
         self._path, self._config = path, config
+        if telemetry is None:
+            telemetry = Telemetry()
+            telemetry.name(config.name)
+            telemetry.start()
+        self.telemetry = telemetry
         settings = config.settings
         # Half for replicas, half for clients, who need no more than a third for requests.
         links = max(config.sockets // 2 - OWN_DESCRIPTORS - SPARE, 1)
         limits = LinkLimits(config.streams, links, 0.8 * config.conn_idle, config.connect_timeout)
+        reader = ListReader(config.zones, clock_offset(), telemetry.info)
         # Room for every part of as many queries as there can be connections: descriptors bound it, not this.
         most = Bounds(config.sockets * (1 + config.shards), 64 << 20)
         self.core = Core(
-            Coordinator(settings, config.seed), settings, most, Lines(), lambda report: Links(limits, report),
+            Coordinator(settings, config.seed), settings, most,
+            CoreLog(telemetry, config.class_names, reader.host),
+            lambda report: Links(limits, report, on_end=self._link_ended),
             Outside(self._subscribe, self._tell_peers), gather=settings.granularity,
         )
         self.front = ClientFront(self.core, config.class_names, config.shards)
-        reader = ListReader(config.zones, clock_offset(), log)
         # Where lists are pushed, all counts as told as soon as discovery is back: a call that hangs since before
         # must not outlast the grace.
         patience = inf if settings.must_ask_membership else settings.drain_grace or inf
-        self.watch = Watch(config.discovery, reader, self.core.listed, log, patience)
+        self.watch = Watch(config.discovery, reader, self.core.listed, telemetry.info, patience)
         self._peers = (
             Peers(config.peer_listen, config.peers, config.peers_all, config.me, self.core.heard)
             if config.peer_listen and settings.may_message_peers else None
@@ -85,7 +135,7 @@
         try:
             known = reader.read(config.known, cached=True) if config.known else None
         except ListError as error:
-            log(f"known: {error}")
+            telemetry.warning("known_list_unusable", error=str(error))
             known = None
         if known:
             self.core.listed(known)
@@ -95,6 +145,20 @@
             crowd=config.sockets // 6,  # half of what clients may hold for requests
         ))
 
+        counts = self.core.driver_counts
+        telemetry.add_source("attempts", lambda: counts.outcomes)
+        telemetry.add_source("driver", counts.totals)
+        telemetry.add_source("client_connections_ended", lambda: self.server.ends)
+
+    def _link_ended(self, ended: LinkEnded) -> None:
+        """From the decision thread or the links' reader."""
+        self.telemetry.counters.add("replica_connections_ended", ended.reason)
+        if ended.out or self.telemetry.debug_on:
+            self.telemetry.info(
+                "replica_connection_ended", address=f"{ended.address[0]}:{ended.address[1]}",
+                reason=ended.reason, detail=ended.detail, out=ended.out, unsent=ended.unsent,
+            )
+
     def _subscribe(self) -> None:
         self.watch.follow()
 
@@ -117,9 +181,10 @@
         try:
             new = configuration.read(self._path)
         except ConfigError as error:
-            log(f"configuration kept: {error}")
+            self.telemetry.warning("configuration_kept", error=str(error))
             return
-        log(f"configuration read again: discovery at {new.discovery[0]}:{new.discovery[1]}")
+        where = f"{new.discovery[0]}:{new.discovery[1]}"
+        self.telemetry.info("configuration_read_again", discovery=where)
         self.watch.move(new.discovery)
 
     def stop(self) -> None:
@@ -133,7 +198,8 @@
         longest = max(kind.deadline for kind in self._config.settings.classes)
         time.sleep(min(longest, LONGEST_COUNTED) + KILL_AFTER - LAST_ANSWERS)
         self.end()
-        log("ended")
+        self.telemetry.info("ended")
+        self.telemetry.stop()
 
     def end(self) -> None:
         """Answer all that is held, now, and be gone."""
@@ -147,21 +213,45 @@
 def run(path: Path) -> int:
     # Blocked before any thread starts, so that all inherit it and none of these is lost or ends the program.
     signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
+    telemetry = Telemetry(level=logging.DEBUG if os.environ.get("GINGERVANE_DEBUG") else logging.INFO)
     if trace := os.environ.get("GINGERVANE_TRACE"):
         TAP.open(Path(trace))
     try:
         config = configuration.read(path)
-        node = Node(path, config)
+        telemetry.name(config.name)
+        node = Node(path, config, telemetry)
     except (ConfigError, OSError) as error:
-        log(f"gingervane: {error}")
+        sys.stderr.write(f"gingervane: {error}\n")
         return 2
+    telemetry.start()
+    _log_settings(telemetry, config)
     node.start()
-    log(f"{config.name} listens on {config.listen[0]}:{config.listen[1]}, {threading.active_count()} threads")
+    where = f"{node.server.address[0]}:{node.server.address[1]}"
+    telemetry.info("listens", address=where, threads=threading.active_count())
     while True:
         number = signal.sigwait(_SIGNALS)
         if number == signal.SIGHUP:
             node.reload()
-            continue
-        log(f"ending on {signal.Signals(number).name}")
-        node.stop()
-        return 0
+        elif number == signal.SIGUSR1:
+            telemetry.dump()
+        else:
+            telemetry.info("ending", signal=signal.Signals(number).name)
+            node.stop()
+            return 0
+
+
+def _log_settings(telemetry: Telemetry, config: Config) -> None:
+    """What the platform asks of each class: without it no log of an answer can be judged."""
+    settings = config.settings
+    for name, kind in zip(config.class_names, settings.classes, strict=True):
+        telemetry.info(
+            "class_settings", query_class=name, semantics=kind.semantics, aim=kind.aim, deadline=kind.deadline,
+            repeat_window=kind.repeat_window or 0.0, second_step_parts=kind.second_step_parts,
+            least_share=kind.least_share, whole_share=kind.whole_share,
+        )
+    telemetry.info(
+        "settings", coordinators=settings.coordinators, shards=config.shards, streams=config.streams,
+        parts_per_call=settings.parts_per_call, most_attempts=settings.most_attempts,
+        may_cancel=settings.may_cancel, may_copy=settings.may_copy, drain_grace=settings.drain_grace,
+        must_ask_membership=settings.must_ask_membership, sockets=config.sockets,
+    )
--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -258,7 +258,7 @@
         weight = min(HEARSAY, EJECT_AT / max(BREAKER_OPENS * sent, EPSILON))
         server.silent_to = self.now if word == SILENT else server.silent_to
         if not server.ejected_for and word != WELL:
-            self._judge(server, weight, "words of peers")
+            self._judge(server, weight, api.EjectionReason.PEER_REPORTS)
             return
         # Guards against trials by each alone, which add up: as much as ejects a server keeps it out as long
         # again, without doubling (that is for own trials); as much to the contrary lets it back.
@@ -290,9 +290,9 @@
         if server.silent_to - server.ejected_at > EJECT_FOR:
             server.doubt_from = self.now
         server.ejected_for = server.badness = 0.0
-        self.actions.append(api.Remark(f"replica {server.listed.id} reinstated"))
+        self.actions.append(api.ReplicaReinstated(server.listed.id))
 
-    def _judge(self, server: _Server, bad: float, why: str = "") -> None:
+    def _judge(self, server: _Server, bad: float, why: api.EjectionReason | None = None) -> None:
         """Bad parts (failed, met by silence, overtaken by their copy) eject a server for a while."""
         if server.ejected_for and not bad:
             self._reinstate(server)
@@ -303,7 +303,7 @@
         if not server.ejected_for:
             self._weigh(server, bad or -1.0)
             # What cannot be reached is of no use, however many such there are.
-            most = inf if why == api.Outcome.CONNECT_FAILED.value else MOST_EJECTED * self.ready
+            most = inf if why is api.EjectionReason.CONNECT_FAILED else MOST_EJECTED * self.ready
             ejected = sum(s.ready and s.ejected_for > 0 for s in self.servers.values()) if bad else 0
             if not bad or ejected + 1 > most or server.badness <= EJECT_AT:
                 return
@@ -313,8 +313,8 @@
             server.ejected_at = self.now
         server.ejected_for, server.ejected_until = min(span, EJECT_MOST), self.now + min(span, EJECT_MOST)
         server.badness = 0.0
-        text = f"replica {server.listed.id} ejected for {server.ejected_for:g} s: {why}"
-        self.actions.append(api.Remark(text))
+        reason = why or api.EjectionReason.ERROR
+        self.actions.append(api.ReplicaEjected(server.listed.id, server.ejected_for, reason))
         if bad == 1.0:  # hearsay is not passed on
             self._tell(server, SILENT if server.silent_to == self.now else b"")
 
@@ -454,7 +454,8 @@
         attempt.waits += 1
         if attempt.waits % SILENCE == 0 and attempt.server.reached < attempt.call[0]:
             attempt.server.silent_to = self.now
-            self._judge(attempt.server, 1.0, "silence")  # no part sent as late or later has been answered
+            # No part sent as late or later has been answered.
+            self._judge(attempt.server, 1.0, api.EjectionReason.SILENCE)
             attempt.server.mute_until = self.now + 2 * EJECT_MOST
             # Guards against a new connection for each part where parts come seldom: no pause is too long
             # after which one was answered of late; the server is silent by itself.
@@ -496,13 +497,13 @@
                 self._judge(server, 0.0)
             # Guards against slow servers, whatever all do: one that a copy overtook in spite of its start.
             for loser in part.out if attempt.is_copy and not part.done and not self.stalled else ():
-                self._judge(loser.server, 1.0, "overtaken by a copy")
+                self._judge(loser.server, 1.0, api.EjectionReason.LOST_TO_HEDGE)
         elif event.outcome not in (api.Outcome.CANCELLED, api.Outcome.NEVER_SENT):
             self.failures.add(self.now)
             server.silent_to = server.silent_to if answered else self.now
             # Guards against ejecting what is only full: its load would fill the next holder.
             full = event.outcome is api.Outcome.REJECTED
-            self._judge(server, HEARSAY if full else 1.0, event.outcome.value)
+            self._judge(server, HEARSAY if full else 1.0, api.EjectionReason(event.outcome.value))
         server.reached = max(server.reached, attempt.call[0] if answered else 0.0)
         server.mute_until = 0.0 if answered else server.mute_until
         if answered and attempt.idle > self._longest_fine():
@@ -562,7 +563,8 @@
             part.lost = not any(self._permitted(s) for s in held)
         parts = [p for p in query.parts if not p.lost]
         row = self._position(parts)
-        admitted = parts and not query.lacks() and (query.step == 2 or not self._crowded(query, parts, row))
+        reachable = bool(parts) and not query.lacks()
+        admitted = reachable and (query.step == 2 or not self._crowded(query, parts, row))
         for part, server in zip(parts, row, strict=True) if admitted else ():
             # Two parts of one query can spend a cold server's credit: the second goes elsewhere.
             other = server if self._fit(server, query) else self._substitute(part)
@@ -572,7 +574,7 @@
             # refused for want of them buys credit too, but not for repeats.
             wanted = 0 if query.arrived.is_repeat or not query.lacks() else len(query.parts)
             self.flow += wanted / max(self.ready, 1)
-            self._give_up(query)
+            self._give_up(query, api.EndReason.OVERLOAD if reachable else api.EndReason.NO_REPLICA)
         self._settle(query)
 
     def _delay(self, row: list[_Server] | None = None) -> float:
@@ -607,14 +609,14 @@
         worth = kind.short_worth * query.weight_in / kind.whole_share
         over = self.now >= query.aim_at - 2 * self.settings.granularity and worth > kind.late_worth
         if whole or all(p.done for p in query.parts):
-            self._answer(query, True)
+            self._answer(query, True, api.EndReason.WHOLE_SHARE if whole else api.EndReason.ALL_PARTS)
         elif query.lacks():
-            self._give_up(query)
+            self._give_up(query, api.EndReason.PARTS_LOST)
         elif query.weight_in >= query.need and (over or all(p.done or p.lost for p in query.parts)):
-            self._answer(query, False)
+            self._answer(query, False, api.EndReason.SHORT_AT_AIM if over else api.EndReason.SHORT_NO_MORE)
 
-    def _answer(self, query: _Query, whole: bool) -> None:
-        self.actions.append(api.Answer(query.arrived.id, whole and query.first_whole))
+    def _answer(self, query: _Query, whole: bool, reason: api.EndReason) -> None:
+        self.actions.append(api.Answer(query.arrived.id, whole and query.first_whole, reason))
         if query.kind.second_step_parts and query.step == 1:
             self._drop(query.parts)
             query.step, query.first_whole, query.weight_in, query.parts = 2, whole, 0.0, []
@@ -624,18 +626,19 @@
     def _overdue(self, query: _Query) -> None:
         """Time is nearly up: a short answer where the class allows one, else none."""
         if not query.over and query.parts and query.weight_in >= query.need:
-            self._answer(query, False)
+            self._answer(query, False, api.EndReason.SHORT_AT_DEADLINE)
         elif not query.over:
-            self._give_up(query)
+            self._give_up(query, api.EndReason.DEADLINE)
 
-    def _give_up(self, query: _Query) -> None:
+    def _give_up(self, query: _Query, reason: api.EndReason) -> None:
         """The final answer at once: refused with a time to come again where that is harmless, else failed."""
         harmless = query.kind.semantics is api.Semantics.SAFE or not any(p.may_have_run for p in query.parts)
         if harmless and query.step == 1:
             wait = min(self.settings.longest_wait_advice, max(self._delay(), self.settings.granularity))
-            self.actions.append(api.Refuse(query.arrived.id, wait if self.settings.may_advise_wait else 0.0))
+            advice = wait if self.settings.may_advise_wait else 0.0
+            self.actions.append(api.Refuse(query.arrived.id, advice, reason))
         else:
-            self.actions.append(api.Fail(query.arrived.id))
+            self.actions.append(api.Fail(query.arrived.id, reason))
         self._close(query)
 
     def _close(self, query: _Query) -> None:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -10,7 +10,7 @@
 import threading
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import IO, Any, NamedTuple
 
 from gingervane.node import config as configuration
 from gingervane.node.service import Node
@@ -60,6 +60,24 @@
             return [item for item in self.items if which(item)]
 
 
+class Recorded(Waiter):
+    """A log that keeps its events: items are (event, fields)."""
+
+    def __call__(self, event: str, **fields: Any) -> None:
+        self.put((event, fields))
+
+    def named(self, event: str) -> list[dict[str, Any]]:
+        return [fields for name, fields in list(self.items) if name == event]
+
+
+def read_until(stream: IO[str], event: str) -> str:
+    """The next line of a program's log with this event in it."""
+    for said in stream:
+        if f"event={event} " in said + " " or f"event={event}\n" in said:
+            return said
+    raise AssertionError(f"the log has ended without {event}")
+
+
 class Wire:
     """One connection at a replica."""
 
@@ -300,6 +318,7 @@
 
     def close(self) -> None:
         self.node.end()
+        self.node.telemetry.stop()
         self.discovery.close()
         for replica in self.replicas:
             replica.close()
