A query between its steps has no answer; driver and module ask one function

Cause: Coordinator._settle read all(p.done for p in query.parts) of the empty list that Coordinator._answer leaves between the steps; the aim timer in that batch answered with no piece. Driver._answer let it out: it checked only whole answers, and not where the whole share was under 1. Class of bug: a state told by an empty collection (vacuous truth), behind a check that believed the module. Related paths read for it: writes (guarded by done and), tree Sum (a task without leaves is answered by its front), remote read without shards (an empty whole answer is right).

--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -7,7 +7,8 @@
 - each `Send` of the module gets exactly one `AttemptEnded`; of several endings (an answer, a cancel, a time-out)
   the first one taken counts and the others are dropped;
 - a part's result is that of the first good ending, the same one that the module counts;
-- an answer goes out whole only if every part's result is here.
+- an answer goes out only if the results in hand are as many as its class asks for, and is marked whole only if they
+  are as many as that takes (`shares`).
 
 Owner: whoever calls `step` (the decision thread of `core.Core`, a test, an emulator); nothing here is shared.
 """
@@ -22,6 +23,7 @@
 from gingervane import interface as api
 from gingervane.coordinator import types as t
 from gingervane.coordinator.timers import WheelTimers
+from gingervane.shares import Coverage, Step, is_whole, may_answer
 
 
 @dataclass
@@ -55,6 +57,18 @@
     why: str = ""
     held_bytes: int = 0  # of results
     second: bool = False  # in its second step
+    first_whole: bool = True  # the first step was answered as whole
+
+    @property
+    def step(self) -> Step:
+        return Step.SECOND if self.second else Step.FIRST
+
+    @property
+    def coverage(self) -> Coverage:
+        """Of the present step, from the results in hand."""
+        weight_in = sum(self.asked[index].weight for index in self.results)
+        weight_asked = sum(part.weight for part in self.asked.values())
+        return Coverage(len(self.asked), len(self.results), weight_asked, weight_in)
 
 
 @dataclass
@@ -361,17 +375,26 @@
         self, now: float, number: int, whole: bool, reason: api.EndReason, effects: list[t.Effect],
     ) -> None:
         query = self._queries.get(number)
-        if query and whole and len(query.results) < len(query.asked):
-            if self._settings.classes[query.arrived.plan.query_class].whole_share < 1.0:
-                # As good as whole for its class; what is missing is said all the same.
-                self._answer_step(now, query, t.Verdict.SHORT, whole, reason, effects)
-                return
-            # The module counted what is not here. It cannot happen; were it to, no one gets a false answer.
-            missing = "internal: a part of a whole answer is missing"
-            self._settle(now, number, t.Verdict.FAILED, api.EndReason.NOT_COVERED, effects, why=missing)
+        if query is None:
+            return
+        coverage = query.coverage
+        if wrong := self._not_covered(query, coverage, whole):
+            # It cannot happen; were it to, no one gets a false answer.
+            why = f"internal: {wrong}: {coverage.parts_in} of {coverage.asked} parts are in"
+            self._settle(now, number, t.Verdict.FAILED, api.EndReason.NOT_COVERED, effects, why=why)
             return
-        if query:
-            self._answer_step(now, query, t.Verdict.WHOLE if whole else t.Verdict.SHORT, whole, reason, effects)
+        # One that is as good as whole for its class says all the same what is missing.
+        verdict = t.Verdict.WHOLE if whole and coverage.complete else t.Verdict.SHORT
+        self._answer_step(now, query, verdict, whole, reason, effects)
+
+    def _not_covered(self, query: _Query, coverage: Coverage, whole: bool) -> str:
+        """What is wrong with an answer from the results in hand; empty if nothing is. The module is not believed."""
+        kind = self._settings.classes[query.arrived.plan.query_class]
+        if not may_answer(kind, query.step, coverage):
+            return "an answer under its least share"
+        if whole and not (query.first_whole and is_whole(kind, query.step, coverage)):
+            return "an answer marked whole that is not"
+        return ""
 
     def _answer_step(
         self, now: float, query: _Query, verdict: t.Verdict, whole: bool, reason: api.EndReason,
@@ -382,7 +405,7 @@
         if plan.second_step is None or query.second:
             self._settle(now, query.id, verdict, reason, effects, whole=whole)
             return
-        query.second, query.results = True, {}
+        query.second, query.first_whole, query.results = True, whole, {}
         for part in query.parts:
             self._again += self._keep_back(part, now, effects)
         self._again += self._ask(query, plan.second_step(first, whole), len(plan.parts))
@@ -394,7 +417,7 @@
         query = self._queries.pop(number, None)
         if query is None:
             return
-        coverage = sum(query.asked[i].weight for i in query.results)
+        coverage = query.coverage.weight_in
         answered = verdict in (t.Verdict.WHOLE, t.Verdict.SHORT)
         results = query.results if answered else {}
         self.held_bytes -= query.held_bytes
--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -15,6 +15,7 @@
 from math import inf, log, sqrt
 
 from gingervane import interface as api
+from gingervane.shares import Coverage, Step, is_whole, may_answer
 
 WINDOW = 10.0  # span of the breaker and of the traffic counts (design page)
 PERCENTILE, SAMPLES = 0.95, 200  # hedge delay, of the class's last latencies; and of the aim until there are
@@ -138,22 +139,40 @@
     kind: api.QueryClass
     aim_at: float
     answer_by: float
-    parts: list[_Part] = field(default_factory=list)
+    parts: list[_Part] = field(default_factory=list)  # of the present step
+    parts_in: int = 0
+    weight_asked: float = 0.0
     weight_in: float = 0.0
-    step: int = 1
+    step: Step = Step.FIRST
     first_whole: bool = True
-    over: bool = False
 
     @property
-    def need(self) -> float:
-        """The least weight of an answer; a second step needs all unless the class allows short answers."""
-        least, whole = self.kind.least_share, self.kind.whole_share
-        return 1.0 if self.step == 2 and least >= whole else min(least, whole)
+    def over(self) -> bool:
+        return self.step is Step.SETTLED
+
+    @property
+    def coverage(self) -> Coverage:
+        """What is in of the present step."""
+        return Coverage(len(self.parts), self.parts_in, self.weight_asked, self.weight_in)
 
     def lacks(self, lost: Callable[[_Part], bool] = lambda p: p.lost) -> bool:
         """Whether an answer is out of reach without the parts that are lost."""
-        gone = sum(p.arrived.weight for p in self.parts if lost(p) and not p.done)
-        return gone > 1.0 - self.need + EPSILON
+        gone = [p.arrived.weight for p in self.parts if lost(p) and not p.done]
+        count, weight = len(self.parts), self.weight_asked
+        at_best = Coverage(count, count - len(gone), weight, weight - sum(gone))
+        return bool(gone) and not may_answer(self.kind, self.step, at_best)
+
+    def open_second_step(self, first_whole: bool) -> None:
+        """Close the first step; the parts of the second come with a later batch."""
+        self.step, self.first_whole = Step.BETWEEN, first_whole
+        self.parts, self.parts_in, self.weight_asked, self.weight_in = [], 0, 0.0, 0.0
+
+    def ask(self, part: _Part) -> None:
+        """One more part of the present step; the first one begins a second step."""
+        if self.step is Step.BETWEEN:
+            self.step = Step.SECOND
+        self.parts.append(part)
+        self.weight_asked += part.arrived.weight
 
 
 class Coordinator:
@@ -522,6 +541,7 @@
                 waited = max(event.latency, part.may_have_run.get(1, 0.0) - part.first_sent)
                 self.latency[query.arrived.query_class].append(waited)
             self._drop([part])
+            query.parts_in += 1
             query.weight_in += part.arrived.weight
             self._settle(query)
         elif event.outcome is api.Outcome.REJECTED and part.made < self.settings.most_attempts:
@@ -554,7 +574,7 @@
         self.taken.add(self.now)
         self.asked.add(self.now)
         if query := self.by_number.get(event.query_number):
-            query.parts.append(_Part(event, query, self.now))
+            query.ask(_Part(event, query, self.now))
             self.fresh[query.arrived.id] = query
 
     def _start(self, query: _Query) -> None:
@@ -564,7 +584,7 @@
         parts = [p for p in query.parts if not p.lost]
         row = self._position(parts)
         reachable = bool(parts) and not query.lacks()
-        admitted = reachable and (query.step == 2 or not self._crowded(query, parts, row))
+        admitted = reachable and (query.step is Step.SECOND or not self._crowded(query, parts, row))
         for part, server in zip(parts, row, strict=True) if admitted else ():
             # Two parts of one query can spend a cold server's credit: the second goes elsewhere.
             other = server if self._fit(server, query) else self._substitute(part)
@@ -602,30 +622,33 @@
 
     def _settle(self, query: _Query) -> None:
         """End what can be: with enough for a whole answer, with all there is to come, or for want of it."""
-        if query.over:
+        # Between its steps a query has no parts, which says nothing of what is in. Found in an incident: the
+        # aim timer came just then, took no part open for all parts in, and answered without any.
+        if not query.step.has_parts:
             return
-        kind, whole = query.kind, query.step == 1 and query.weight_in >= query.kind.whole_share < 1.0
+        kind, coverage = query.kind, query.coverage
         # Past the aim a whole answer earns its late worth: what is in may earn more, if it goes in time.
         worth = kind.short_worth * query.weight_in / kind.whole_share
         over = self.now >= query.aim_at - 2 * self.settings.granularity and worth > kind.late_worth
-        if whole or all(p.done for p in query.parts):
-            self._answer(query, True, api.EndReason.WHOLE_SHARE if whole else api.EndReason.ALL_PARTS)
+        if is_whole(kind, query.step, coverage):
+            complete = coverage.complete
+            self._answer(query, True, api.EndReason.ALL_PARTS if complete else api.EndReason.WHOLE_SHARE)
         elif query.lacks():
             self._give_up(query, api.EndReason.PARTS_LOST)
-        elif query.weight_in >= query.need and (over or all(p.done or p.lost for p in query.parts)):
+        elif may_answer(kind, query.step, coverage) and (over or all(p.done or p.lost for p in query.parts)):
             self._answer(query, False, api.EndReason.SHORT_AT_AIM if over else api.EndReason.SHORT_NO_MORE)
 
     def _answer(self, query: _Query, whole: bool, reason: api.EndReason) -> None:
         self.actions.append(api.Answer(query.arrived.id, whole and query.first_whole, reason))
-        if query.kind.second_step_parts and query.step == 1:
+        if query.kind.second_step_parts and query.step is Step.FIRST:
             self._drop(query.parts)
-            query.step, query.first_whole, query.weight_in, query.parts = 2, whole, 0.0, []
+            query.open_second_step(whole)
         else:
             self._close(query)
 
     def _overdue(self, query: _Query) -> None:
         """Time is nearly up: a short answer where the class allows one, else none."""
-        if not query.over and query.parts and query.weight_in >= query.need:
+        if may_answer(query.kind, query.step, query.coverage):
             self._answer(query, False, api.EndReason.SHORT_AT_DEADLINE)
         elif not query.over:
             self._give_up(query, api.EndReason.DEADLINE)
@@ -633,7 +656,7 @@
     def _give_up(self, query: _Query, reason: api.EndReason) -> None:
         """The final answer at once: refused with a time to come again where that is harmless, else failed."""
         harmless = query.kind.semantics is api.Semantics.SAFE or not any(p.may_have_run for p in query.parts)
-        if harmless and query.step == 1:
+        if harmless and query.step is Step.FIRST:
             wait = min(self.settings.longest_wait_advice, max(self._delay(), self.settings.granularity))
             advice = wait if self.settings.may_advise_wait else 0.0
             self.actions.append(api.Refuse(query.arrived.id, advice, reason))
@@ -642,7 +665,7 @@
         self._close(query)
 
     def _close(self, query: _Query) -> None:
-        query.over = True
+        query.step = Step.SETTLED
         del self.queries[query.arrived.id], self.by_number[query.arrived.number]
         self._drop(query.parts)
         query.parts = []  # guards memory: they refer to it, and as a cycle wait for the collector
