Each part is told its own client's time; failures of this machine are held against nobody

Cause, deadlines: the parts that one batch sends to one replica share a call, and its one d was the latest stop_at of them all (Driver._send, Links._prepare). Each errand has its own now; protocols with one time for a request take the least. Read and closed: a reply past its time is a 504 in place of a silent close, and a handler that breaks answers 500.

--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -21,6 +21,7 @@
 from gingervane.coordinator.driver import Counts, Driver, Module
 from gingervane.coordinator.sender import SenderLimits, Senders
 from gingervane.policy import Coordinator
+from gingervane.wire.local import start_thread
 from gingervane.wire.pool import Pool
 
 _MOST_A_BATCH = 512
@@ -204,11 +205,11 @@
         self._stop, self.broken = Event(), Event()
         self._gather, self._turned = gather, 0.0
         self._door = Lock()  # see `submit`
-        self._thread = Thread(target=self._run, name="decisions", daemon=True)
+        self._thread: Thread | None = None
 
     def start(self) -> None:
         """Start deciding. Lists and queries that came before wait in the inbox."""
-        self._thread.start()
+        self._thread = start_thread(self._run, "decisions")
 
     @property
     def driver_counts(self) -> Counts:
@@ -258,7 +259,8 @@
         self._inbox.put([t.Shutdown()])
         self._stop.set()
         self._inbox.put([])
-        self._thread.join()
+        if self._thread:
+            self._thread.join()
         self._senders.close()
 
     def _take_endings(self, endings: list[t.Ended]) -> None:
--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -364,7 +364,7 @@
             effects.append(t.Start(call))
         semantics = self._settings.classes[plan.query_class].semantics
         content = part.plan.by_run[run] if run < len(part.plan.by_run) else part.plan.content
-        attempt.errand = t.Errand(number, attempt.number, content, semantics)
+        attempt.errand = t.Errand(number, attempt.number, content, semantics, stop_at)
         call.errands.append(attempt.errand)
         call.stop_at = max(call.stop_at, stop_at)
         call.live += 1
--- a/gingervane/coordinator/sender.py
+++ b/gingervane/coordinator/sender.py
@@ -121,8 +121,7 @@
                 return self._leave(call, connection, lease)
             contents = [errand.content for errand in errands]
             connection.until = call.stop_at
-            left = call.stop_at - time.monotonic()
-            data = exchange.write(contents, left, call.address)
+            data = exchange.write(contents, call.seconds_left(errands, time.monotonic()), call.address)
             connection.write(data)
             phase, wrote = Phase.READING, len(data)
             reply = connection.reader.response()
--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 from typing import Any, NamedTuple, Protocol
 
 from gingervane import interface as api
@@ -19,8 +20,9 @@
 class Travel(Protocol):
     """How parts of one protocol travel to a replica in one call. Free of I/O; called from sending threads."""
 
-    def write(self, contents: list[Any], seconds_left: float, address: tuple[str, int]) -> bytes:
-        """The whole request for these parts."""
+    def write(self, contents: list[Any], seconds_left: list[float], address: tuple[str, int]) -> bytes:
+        """The whole request for these parts. `seconds_left`: of each; where a request has one time for all of them,
+        it is the least, so that no replica is told more time than a client has."""
 
     def size(self, result: Any) -> int:
         """Bytes that a result holds in memory, roughly."""
@@ -183,10 +185,14 @@
     and an ending that the driver makes can prove that nothing had left.
     """
 
-    __slots__ = ("part", "attempt", "content", "semantics", "_unclaimed")
+    __slots__ = ("part", "attempt", "content", "semantics", "stop_at", "_unclaimed")
 
-    def __init__(self, part: int, attempt: int, content: Any, semantics: api.Semantics) -> None:
+    def __init__(
+        self, part: int, attempt: int, content: Any, semantics: api.Semantics, stop_at: float = inf,
+    ) -> None:
+        """`stop_at`: when its own client's time is up; the call's is the latest of its errands'."""
         self.part, self.attempt, self.content, self.semantics = part, attempt, content, semantics
+        self.stop_at = stop_at
         self._unclaimed = deque((True,))
 
     def claim(self) -> bool:
@@ -223,6 +229,10 @@
             [errand for errand in claimed if late and errand.attempt],
         )
 
+    def seconds_left(self, errands: list[Errand], now: float) -> list[float]:
+        """Of each of its errands, which are parts of different queries: what its replica may be told."""
+        return [min(errand.stop_at, self.stop_at) - now for errand in errands]
+
     def is_late(self, now: float) -> bool:
         """Whether no byte of a further attempt may leave any more."""
         return now - self.decided_at > HAND_OVER
--- a/gingervane/emulator/coordinator.py
+++ b/gingervane/emulator/coordinator.py
@@ -57,7 +57,7 @@
 class _Bytes:
     """Sizes of results, which nobody looks into here."""
 
-    def write(self, contents: list[Any], seconds_left: float, address: tuple[str, int]) -> bytes:
+    def write(self, contents: list[Any], seconds_left: list[float], address: tuple[str, int]) -> bytes:
         raise NotImplementedError
 
     def read(self, contents: list[Any], status: int, header: Callable[[str], str], body: bytes) -> list[Any]:
--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import select
 import socket
 import threading
@@ -28,10 +29,14 @@
 from queue import Empty, SimpleQueue
 from typing import NamedTuple
 
+from gingervane.wire.local import is_passing, patiently, start_thread
+
 LINGER, LINGER_BYTES = 0.5, 1 << 20  # seconds and bytes that an ended connection may still take
 MOST_ENDING = 16  # connections at their end, beyond the bound on the others
 _SPARE_THREAD = 5.0  # seconds that a thread waits for its next connection
 _PAUSE = 0.05  # seconds without taking any, out of descriptors
+_THREAD_PATIENCE = 0.3  # seconds that a request waits for a thread before it is refused
+_SEND_TRIES = 20  # of a refusal, where memory is short
 _LONGEST_WAIT = 0.5  # seconds: what other threads put in meanwhile is looked at no later
 
 
@@ -83,6 +88,7 @@
         self.sock, self.since, self.began = sock, now, now
         self.number = sock.fileno()
         self.kept: object = None  # what its worker keeps between requests
+        self.waits_since = 0.0  # when a request began that no thread could be had for; 0: none waits
         self._phase, self._gone, self._until, self._drained = _Phase.RESTING, _nobody, inf, 0
 
 
@@ -101,7 +107,7 @@
         listener.setblocking(False)
         self._lock = threading.Lock()
         self._none_left = threading.Condition(self._lock)
-        self._poll, self._number = select.epoll(), listener.fileno()
+        self._poll, self._number = patiently(select.epoll), listener.fileno()
         self._open: dict[int, Connection] = {}
         # Oldest first: those that never spoke, those between requests, those that end.
         self._silent = dict[Connection, None]()
@@ -112,7 +118,9 @@
         self._paused_to = 0.0
         self._accepting, self._winding_down, self._stopped = True, False, threading.Event()
         self.refused = 0  # past the bound
+        self._unarmed = dict[Connection, None]()  # whose news could not be asked for
         self.ends: Counter[str] = Counter()  # by `ConnectionEnd`; changed under the lock
+        self.failures: Counter[str] = Counter()  # of system calls, by call and error; changed under the lock
 
     @property
     def winding_down(self) -> bool:
@@ -124,8 +132,8 @@
         return len(self._open) - len(self._ending)
 
     def start(self) -> None:
-        self._poll.register(self._number, select.EPOLLIN | select.EPOLLONESHOT)
-        threading.Thread(target=self._run, name="connections", daemon=True).start()
+        patiently(lambda: self._poll.register(self._number, select.EPOLLIN | select.EPOLLONESHOT))
+        start_thread(self._run, "connections")
 
     def wind_down(self) -> None:
         """Go on accepting and serving, but let each reply end its connection, and end those at rest now. A request
@@ -165,7 +173,7 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            for number, _ in self._poll.poll(self._wait()):
+            for number, _ in self._look():
                 if number == self._number and number not in self._open:
                     with self._lock:
                         self._take_all()
@@ -179,6 +187,13 @@
                 self._accepting = False
                 self._listener.close()
 
+    def _look(self) -> list[tuple[int, int]]:
+        """What has happened to the connections and the listener, until something is due."""
+        try:
+            return self._poll.poll(self._wait())
+        except OSError:  # guards the only thread that takes connections
+            return []
+
     def _wait(self) -> float:
         """Seconds until one of those that wait has waited too long."""
         bounds = self._bounds
@@ -187,6 +202,7 @@
             due += [one.since + bounds.idle for one in _first(self._quiet)]
             due += [one._until for one in _first(self._ending)]
             due += [self._paused_to] if self._paused_to else []
+            due += [time.monotonic() + _PAUSE] if self._unarmed else []
         return min(max(min(due, default=inf) - time.monotonic(), 0.001), _LONGEST_WAIT)
 
     def _seen(self, number: int) -> None:
@@ -220,9 +236,12 @@
             ):
                 for one in [one for one in some if one.since + longest <= now]:
                     self._end_at_rest(one, reason)
+            unarmed, self._unarmed = self._unarmed, {}
+            for one in unarmed:
+                if self._open.get(one.number) is one:
+                    self._arm(one)
             if self._accepting and self._paused_to and self._paused_to <= now:
-                self._paused_to = 0.0
-                self._poll.modify(self._number, select.EPOLLIN | select.EPOLLONESHOT)
+                self._listen()
 
     # ---- under the lock
 
@@ -234,15 +253,29 @@
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
-                self._poll.modify(self._number, select.EPOLLIN | select.EPOLLONESHOT)
+                self._listen()
                 return
             except ConnectionAbortedError:
                 continue
-            except OSError:  # out of descriptors: those in use must end first
+            except OSError as error:  # out of descriptors, for instance: those in use must end first
+                self._failed("accept", error)
                 self._paused_to = time.monotonic() + _PAUSE
                 return
             self._take(sock)
 
+    def _listen(self) -> None:
+        """Have the next connection that comes told; tried again after a pause if that cannot be asked for now."""
+        try:
+            self._poll.modify(self._number, select.EPOLLIN | select.EPOLLONESHOT)
+            self._paused_to = 0.0
+        except OSError as error:
+            self._failed("epoll", error)
+            self._paused_to = time.monotonic() + _PAUSE
+
+    def _failed(self, call: str, error: OSError) -> None:
+        """Count a system call that failed for want of something here."""
+        self.failures[f"{call} {errno.errorcode.get(error.errno or 0, 'unknown')}"] += 1
+
     def _take(self, sock: socket.socket) -> None:
         one = Connection(sock, time.monotonic())
         sock.setblocking(False)
@@ -250,12 +283,8 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         full = len(self) >= self._bounds.connections and not self._make_room()
         self._open[one.number] = one
-        self._poll.register(one.number, 0)
         if full:
-            self.refused += 1
-            with contextlib.suppress(OSError):
-                sock.send(self._turned_away)
-            self._end(one, ConnectionEnd.OVER_LIMIT)
+            self._turn_away(one, ConnectionEnd.OVER_LIMIT)
             return
         self._silent[one] = None
         self._arm(one)
@@ -265,6 +294,19 @@
             for quiet in [quiet for quiet in _first(self._quiet, 2) if quiet.since < before]:
                 self._end_at_rest(quiet, ConnectionEnd.CROWDED)
 
+    def _turn_away(self, one: Connection, reason: ConnectionEnd) -> None:
+        """Refuse a connection's request without reading it, and end the connection."""
+        self.refused += 1
+        for _ in range(_SEND_TRIES):
+            try:
+                one.sock.send(self._turned_away)  # as a whole: nothing was written there before
+                break
+            except OSError as error:
+                if not is_passing(error):
+                    break
+                self._failed("send", error)
+        self._end(one, reason)
+
     def _make_room(self) -> bool:
         """End the oldest connection that has said nothing. Guards against hundreds of those keeping all out."""
         if self._bounds.silent is None:  # here a connection may be quiet before it speaks
@@ -274,7 +316,20 @@
     def _arm(self, one: Connection) -> None:
         """Have the next thing that its phase waits for told once."""
         what = select.EPOLLRDHUP if one._phase is _Phase.AT_WORK else select.EPOLLIN | select.EPOLLRDHUP
-        self._poll.modify(one.number, what | select.EPOLLONESHOT)
+        try:
+            self._poll.modify(one.number, what | select.EPOLLONESHOT)
+        except FileNotFoundError:  # a new one
+            self._register(one, what | select.EPOLLONESHOT)
+        except OSError as error:
+            self._failed("epoll", error)
+            self._unarmed[one] = None  # asked for again after a pause: what has come is told then
+
+    def _register(self, one: Connection, what: int) -> None:
+        try:
+            self._poll.register(one.number, what)
+        except OSError as error:
+            self._failed("epoll", error)
+            self._unarmed[one] = None
 
     def _begins(self, one: Connection) -> bool:
         """Whether a request begins on a resting connection; it is at work then."""
@@ -286,7 +341,7 @@
         else:
             self._silent.pop(one, None)
             self._quiet.pop(one, None)
-            one._phase, one.began = _Phase.AT_WORK, time.monotonic()
+            one._phase, one.began = _Phase.AT_WORK, one.waits_since or time.monotonic()
         return bool(found)
 
     def _end_at_rest(self, one: Connection, reason: ConnectionEnd) -> bool:
@@ -324,10 +379,10 @@
     def _drain(self, one: Connection) -> None:
         try:
             data = one.sock.recv(65536)
-        except BlockingIOError:
-            self._arm(one)
-            return
-        except OSError:
+        except OSError as error:
+            if is_passing(error):
+                self._arm(one)
+                return
             data = b""
         one._drained += len(data)
         if data and one._drained <= LINGER_BYTES:
@@ -357,12 +412,19 @@
             return
         try:
             threading.Thread(target=self._labour, args=(one,), name="client", daemon=True).start()
-        except RuntimeError:  # no more threads
+        except RuntimeError:  # no more threads for now
             with self._lock:
-                self.refused += 1
-                with contextlib.suppress(OSError):
-                    one.sock.send(self._turned_away)
-                self._end(one, ConnectionEnd.NO_THREAD)
+                self._has_no_thread(one)
+
+    def _has_no_thread(self, one: Connection) -> None:
+        """A request has begun that nobody can read: looked at again after a pause, and refused in the end."""
+        self.failures["thread"] += 1
+        one.waits_since = one.waits_since or one.began
+        if time.monotonic() - one.waits_since >= _THREAD_PATIENCE:
+            self._turn_away(one, ConnectionEnd.NO_THREAD)
+            return
+        one._phase = _Phase.RESTING
+        self._quiet[one] = self._unarmed[one] = None
 
     def _labour(self, one: Connection | None) -> None:
         while one:
@@ -388,7 +450,7 @@
     def _release(self, one: Connection, after: After) -> None:
         """Work on a connection is done."""
         with self._lock:
-            one._gone, one.since = _nobody, time.monotonic()
+            one._gone, one.since, one.waits_since = _nobody, time.monotonic(), 0.0
             if after is After.GONE:
                 self.ends[ConnectionEnd.BROKEN.value] += 1
                 self._close(one)
@@ -407,13 +469,14 @@
 
 
 def _unread(sock: socket.socket) -> bool | None:
-    """Whether something lies unread on a socket that does not block: None for nothing, False for its end."""
+    """Whether something lies unread on a socket that does not block: None for nothing, False for its end.
+
+    Where the call fails for want of this machine's resources it is None too: what is to come is looked for again.
+    """
     try:
         return bool(sock.recv(1, socket.MSG_PEEK))
-    except BlockingIOError:
-        return None
-    except OSError:
-        return False
+    except OSError as error:
+        return None if is_passing(error) else False
 
 
 def has_left(sock: socket.socket) -> bool:
@@ -421,6 +484,9 @@
     poll = select.poll()
     try:
         poll.register(sock, select.POLLRDHUP | select.POLLHUP)
-    except (OSError, ValueError):
+    except ValueError:  # it is closed here
         return True
-    return bool(poll.poll(0))
+    try:
+        return bool(poll.poll(0))
+    except OSError:  # of this machine: nothing is known of the client
+        return False
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -18,6 +18,7 @@
 from gingervane.fronts.connections import After, Bounds, Connection, Connections, has_left
 from gingervane.wire import http1
 from gingervane.wire.http1 import Closed, HttpError, Limits, Request
+from gingervane.wire.local import RETRY_PAUSE, is_passing, patiently, start_thread
 from gingervane.wire.tap import TAP
 
 
@@ -45,7 +46,7 @@
     fields: list[tuple[str, str]]
     body: bytes
     close: bool = False
-    until: float | None = None  # the client's time: after it nothing may be written
+    until: float | None = None  # the client's time: after it a failure takes this reply's place
     done: Callable[[], None] = lambda: None  # called once the reply is written, or cannot be
 
 
@@ -96,11 +97,17 @@
         self._sock, self.until = sock, 0.0
 
     def receive(self, most: int) -> bytes:
-        left = self.until - time.monotonic()
-        if left <= 0:
-            raise TimeoutError
-        self._sock.settimeout(left)
-        return self._sock.recv(most)
+        while True:
+            left = self.until - time.monotonic()
+            if left <= 0:
+                raise TimeoutError
+            self._sock.settimeout(left)
+            try:
+                return self._sock.recv(most)
+            except OSError as error:
+                if not is_passing(error):
+                    raise
+            time.sleep(RETRY_PAUSE)  # a request that has been taken is not lost for want of memory here
 
 
 class _Reading(NamedTuple):
@@ -116,7 +123,7 @@
 
     def __init__(self, host: str, port: int, handler: Handler, limits: ServerLimits) -> None:
         self._handler, self._limits = handler, limits
-        listener = socket.create_server((host, port), backlog=512)
+        listener = patiently(lambda: socket.create_server((host, port), backlog=512))
         self.address: tuple[str, int] = listener.getsockname()[:2]
         fields = [("Retry-After", "1"), ("Connection", "close"), ("Content-Type", "text/plain")]
         self._connections = Connections(
@@ -126,10 +133,13 @@
         self._stop, self._still = threading.Event(), Standstill(time.monotonic())
         self.wind_down, self.stop_accepting = self._connections.wind_down, self._connections.stop_accepting
 
+        self.faults = 0  # requests whose handler broke
+        self.on_fault: Callable[[BaseException], None] = lambda error: None
+
     def start(self) -> None:
         threading.stack_size(self._limits.stack)
         self._connections.start()
-        threading.Thread(target=self._tick, name="ticker", daemon=True).start()
+        start_thread(self._tick, "ticker")
 
     def stop(self, grace: float) -> None:
         """Accept no more, end resting connections, and give the others `grace` seconds to write their replies and to
@@ -197,10 +207,18 @@
             return After.END
         if TAP.on:
             TAP.put("request", *_ports(sock))
-        reply = self._handler(request, body, arrived, _Client(one, self._connections))
+        try:
+            reply = self._handler(request, body, arrived, _Client(one, self._connections))
+        except Exception as error:  # a bug must not leave a request that has been read without an answer
+            self.faults += 1
+            self.on_fault(error)
+            self._write(sock, plain(500, "failed: internal error", close=True))
+            return After.END
         try:
             if reply.until is not None and time.monotonic() >= reply.until:
-                return After.END  # the client's time is up: the end tells it; an answer now would be a second one
+                # What was to be said comes too late to count; a request that has been read is answered all the same,
+                # with a failure that promises nothing.
+                reply = plain(504, "failed: its time is up", close=True)._replace(done=reply.done)
             close = reply.close or not request.keep_alive or self._connections.winding_down
             self._write(sock, reply._replace(close=close))
             return After.END if close else After.REST
@@ -210,10 +228,25 @@
     def _write(self, sock: socket.socket, reply: Reply) -> None:
         fields = [*reply.fields, ("Connection", "close")] if reply.close else reply.fields
         data = http1.response(reply.status, fields, reply.body)
-        sock.settimeout(self._limits.write)
         if TAP.on:
             TAP.put("reply", *_ports(sock), status=reply.status)
-        sock.sendall(data)
+        _send_all(sock, data, time.monotonic() + self._limits.write)
+
+
+def _send_all(sock: socket.socket, data: bytes, until: float) -> None:
+    """Write all of it. Raises OSError if the other side is gone, or has not taken it by `until`."""
+    view = memoryview(data)
+    while view:
+        left = until - time.monotonic()
+        if left <= 0:
+            raise TimeoutError
+        sock.settimeout(left)
+        try:
+            view = view[sock.send(view) :]
+        except OSError as error:
+            if not is_passing(error):
+                raise
+            time.sleep(RETRY_PAUSE)
 
 
 def _ports(sock: socket.socket) -> tuple[int, int]:
--- a/gingervane/fronts/leaves.py
+++ b/gingervane/fronts/leaves.py
@@ -41,7 +41,7 @@
     def __init__(self, label: str, most_bytes: int) -> None:
         self._label, self._most_bytes = label, most_bytes
 
-    def write(self, contents: list[Any], seconds_left: float, address: tuple[str, int]) -> bytes:
+    def write(self, contents: list[Any], seconds_left: list[float], address: tuple[str, int]) -> bytes:
         queries = [asked.body for tile in contents for asked in tile.asked]
         body = snappy.compress(remote_read.write_request(queries, (Accepts.SAMPLES,)))
         fields = [
@@ -50,7 +50,7 @@
             ("Content-Encoding", "snappy"),
             (VERSION_HEADER, VERSION),
             ("User-Agent", "gingervane"),
-            (TIMEOUT_HEADER, str(max(int(seconds_left * 1000), 1))),
+            (TIMEOUT_HEADER, str(max(int(min(seconds_left) * 1000), 1))),
             ("Content-Length", str(len(body))),
         ]
         return http1.head(f"POST {PATH} HTTP/1.1", fields) + body
--- a/gingervane/fronts/subtrees.py
+++ b/gingervane/fronts/subtrees.py
@@ -52,7 +52,7 @@
     def __init__(self, label: str, most_bytes: int) -> None:
         self._label, self._most_bytes = label, most_bytes
 
-    def write(self, contents: list[Any], seconds_left: float, address: tuple[str, int]) -> bytes:
+    def write(self, contents: list[Any], seconds_left: list[float], address: tuple[str, int]) -> bytes:
         (ask,) = contents
         bodies = []
         for _, query, leaves in ask.queries:
@@ -60,7 +60,7 @@
             mine = Matcher(Match.REGEX, self._label, "|".join(re2.escape(name) for name in leaves))
             bodies.append(remote_read.write_query(query._replace(matchers=(*others, mine))))
         body = snappy.compress(remote_read.write_request(bodies, (Accepts.SAMPLES,)))
-        milliseconds = max(int(seconds_left * 1000), 1)
+        milliseconds = max(int(min(seconds_left) * 1000), 1)
         target = front.PATH + "?" + urlencode({
             "class": ask.query_class, "timeout": f"{milliseconds}ms", "partial_response": "true",
         })
--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -21,7 +21,7 @@
 from collections.abc import Callable
 from enum import Enum
 from math import inf
-from threading import Condition, Thread
+from threading import Condition
 from typing import Any
 
 import orjson
@@ -33,6 +33,7 @@
 from gingervane.wire import http1
 from gingervane.wire.http1 import Closed, HttpError, Limits, Reader
 from gingervane.wire.json_values import JsonValues, TooLong
+from gingervane.wire.local import start_thread
 
 SILENCE = 3.0  # seconds: an empty line is due every 2 s, and one that is late by half is not coming
 _STATES = {
@@ -159,7 +160,7 @@
             self._log("watch_state", old=old, new=state, reason=reason, discovery=where)
 
     def start(self) -> None:
-        Thread(target=self._run, name="discovery", daemon=True).start()
+        start_thread(self._run, "discovery")
 
     def follow(self) -> None:
         """The module wants changes pushed."""
@@ -206,6 +207,8 @@
                 self._follow(where)
             except (OSError, HttpError, Closed, ListError, TooLong) as error:
                 what = str(error) or type(error).__name__
+            except Exception as error:  # a bug must not end the only thread that hears of changes
+                what = f"internal: {type(error).__name__}: {error}"
             with self._change:
                 self._calling = False
                 moved = self._moved or self._stopped
@@ -260,7 +263,7 @@
 
     def _await(self, sock: socket.socket, code: int, seconds: float) -> None:
         """Wait for a connection that is being made."""
-        if code == errno.EINPROGRESS:
+        if code in (errno.EINPROGRESS, errno.EINTR):
             poll = select.poll()
             poll.register(sock, select.POLLOUT)
             if not poll.poll(seconds * 1000):
--- a/gingervane/node/links.py
+++ b/gingervane/node/links.py
@@ -22,13 +22,14 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
-from threading import Lock, Thread
+from threading import Lock
 from typing import Any, NamedTuple
 
 from gingervane.coordinator import types as t
 from gingervane.interface import Outcome
 from gingervane.wire import frames
 from gingervane.wire.frames import Answer, FrameError, FrameReader
+from gingervane.wire.local import is_local, is_passing, patiently, start_thread
 from gingervane.wire.tap import TAP
 
 _READ = 65536
@@ -42,6 +43,7 @@
 
     CONNECT_FAILED = "connect failed"
     CONNECT_TIMEOUT = "connect timed out"
+    LOCAL_FAILURE = "local resource failure"  # of this machine: says nothing of the replica
     WRITE_FAILED = "write failed"
     READ_FAILED = "read failed"
     CLOSED_BY_PEER = "closed by the replica"
@@ -85,8 +87,10 @@
 class FrameTravel:
     """How parts travel in frames."""
 
-    def write(self, contents: list[frames.Asked], seconds_left: float, address: tuple[str, int]) -> bytes:
-        return frames.call(contents, max(int(seconds_left * 1000), 1))
+    def write(
+        self, contents: list[frames.Asked], seconds_left: list[float], address: tuple[str, int],
+    ) -> bytes:
+        return frames.call(contents, [max(int(left * 1000), 1) for left in seconds_left])
 
     def size(self, result: Value) -> int:
         return 100
@@ -119,6 +123,7 @@
         self._rest = b""
         self._half: set[str] = set()  # parts of the frame that `_rest` ends
         self._rest_of: t.Call | None = None  # whose frame that is, if a further attempt is in it
+        self._encoded_at = 0.0  # when that frame was made
         self._reader = FrameReader()
         self.broken, self._up, self.reading = False, False, False
         self.used = time.monotonic()
@@ -155,11 +160,20 @@
         """Begin to. The reader, which must know of this link already, sees it come up or fail."""
         self.sock.setblocking(False)
         code = self.sock.connect_ex(self.address)
-        if code not in (0, errno.EINPROGRESS):
-            self.fail(LinkEnd.CONNECT_FAILED, os.strerror(code), connected=False)
+        if code not in (0, errno.EINPROGRESS, errno.EINTR):  # an interrupted one goes on
+            self._not_connected(code)
+            return
+        try:
+            self._poll.register(self.number, select.EPOLLOUT)
+        except OSError as error:  # guards the decision thread, which runs this
+            self.fail(LinkEnd.LOCAL_FAILURE, f"epoll: {error}", connected=False)
             return
         self.reading = True
-        self._poll.register(self.number, select.EPOLLOUT)
+
+    def _not_connected(self, code: int) -> None:
+        """An attempt to connect has failed; `code` is its error number."""
+        reason = LinkEnd.LOCAL_FAILURE if is_local(code) else LinkEnd.CONNECT_FAILED
+        self.fail(reason, os.strerror(code), connected=False)
 
     def start(self, call: t.Call, now: float) -> bool:
         """Take a call; False if the link has broken."""
@@ -201,12 +215,12 @@
                 # Not half-written any more as far as the reader knows: were it to break now, the rest may have gone.
                 data, parts, self._half = self._rest, self._half, set()
                 item = None if data else self._pending.popleft()
-            if data and self._rest_of and self._rest_of.is_late(time.monotonic()):
-                # Guards windows and budgets: an attempt counts from its frame's last byte.
+            if data and parts and self._rest_is_late(time.monotonic()):
                 self.fail(LinkEnd.LATE_IN_FRAME, unwritten=parts)
                 return
             if item is not None:
                 self._rest_of = item if isinstance(item, t.Call) and any(e.attempt for e in item.errands) else None
+                self._encoded_at = time.monotonic()
                 data, parts = (item, set[str]()) if isinstance(item, bytes) else self._prepare(item)
                 if data and TAP.on:
                     self._trace("call" if parts else "cancel", parts=sorted(parts) or data[5:].decode())
@@ -215,20 +229,31 @@
             sent = 0
             try:
                 sent = self.sock.send(data, socket.MSG_DONTWAIT)
-            except BlockingIOError:
-                pass
             except OSError as error:
-                self.fail(LinkEnd.WRITE_FAILED, str(error), unwritten=parts)
-                return
+                if not is_passing(error):
+                    self.fail(LinkEnd.WRITE_FAILED, str(error), unwritten=parts)
+                    return
             with self._lock:
                 self._rest, self._half = data[sent:], parts if sent < len(data) else set()
             if sent < len(data):
                 self._watch_for(select.EPOLLIN | select.EPOLLOUT)
                 return
 
+    def _rest_is_late(self, now: float) -> bool:
+        """Whether the rest of a call's frame may not leave any more.
+
+        An attempt counts from its frame's last byte: a further one would be past its window or its budget's span, and
+        the time that any of them tells its replica was right when the frame was encoded.
+        """
+        further = self._rest_of is not None and self._rest_of.is_late(now)
+        return further or now - self._encoded_at > t.HAND_OVER
+
     def _watch_for(self, what: int) -> None:
-        with contextlib.suppress(OSError, ValueError):  # the reader may have let go of it
+        try:
             self._poll.modify(self.number, what)
+        except (OSError, ValueError) as error:
+            # Where the reader has let go of it, it is broken already. Else nothing would wake it any more.
+            self.fail(LinkEnd.LOCAL_FAILURE, f"epoll: {error}")
 
     def _prepare(self, call: t.Call) -> tuple[bytes, set[str]]:
         """The bytes of what of a call may leave now, and the ids of its parts; none if nothing may."""
@@ -247,7 +272,8 @@
             ])
         if not errands:
             return b"", set()
-        return call.exchange.write([e.content for e in errands], call.stop_at - now, call.address), left
+        contents = [errand.content for errand in errands]
+        return call.exchange.write(contents, call.seconds_left(errands, now), call.address), left
 
     def _trace(self, kind: str, **fields: Any) -> None:
         with contextlib.suppress(OSError):
@@ -273,7 +299,7 @@
                 if what & ~select.EPOLLOUT:
                     self._read(endings)
         except Exception as error:  # a bug must not leave an attempt without an ending, nor end the reader
-            self.fail(LinkEnd.INTERNAL, f"{type(error).__name__}: {error}")
+            self.fail(LinkEnd.INTERNAL, f"{type(error).__name__}: {error}", connected=self._up)
         self._let_go_if_broken()
 
     def overdue(self, now: float) -> None:
@@ -290,10 +316,11 @@
 
     def _came_up(self) -> None:
         if code := self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            self.fail(LinkEnd.CONNECT_FAILED, os.strerror(code), connected=False)
+            self._not_connected(code)
             return
         self.sock.setblocking(True)  # all is read and written with MSG_DONTWAIT
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):  # without it, frames may be sent a little later
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._watch_for(select.EPOLLIN)
         with self._lock:
             self._up = True
@@ -304,10 +331,9 @@
     def _read(self, endings: list[t.Ended]) -> None:
         try:
             data = self.sock.recv(_READ, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return
         except OSError as error:
-            self.fail(LinkEnd.READ_FAILED, str(error))
+            if not is_passing(error):  # else there is more to be read, and the reader comes again
+                self.fail(LinkEnd.READ_FAILED, str(error))
             return
         if not data:
             self.fail(LinkEnd.CLOSED_BY_PEER)
@@ -377,6 +403,8 @@
         endings = []
         for part, held in out.items():
             outcome = Outcome.CONNECT_FAILED if not connected or part in never else Outcome.RESET
+            if reason is LinkEnd.LOCAL_FAILURE and outcome is Outcome.CONNECT_FAILED:
+                outcome = Outcome.NEVER_SENT  # the same proof, and nothing that the replica has done
             endings.append(t.Ended(held.errand.part, held.errand.attempt, outcome, now, None, why))
         if endings:
             self._report(endings)
@@ -400,11 +428,11 @@
         self._links: dict[tuple[str, int], list[_Link]] = {}
         self._swept = time.monotonic()
         self._ready: deque[_Link] = deque()
-        self._poll = select.epoll()
+        self._poll = patiently(select.epoll)
         self._by_number: dict[int, _Link] = {}  # entered by the decision thread, which also takes out what it closes
         self._rising: deque[_Link] = deque()  # those that connect, the one that must be up first first
         self._closed = False
-        Thread(target=self._run, name="links", daemon=True).start()
+        start_thread(self._run, "links")
 
     def _run(self) -> None:
         """The reader: one thread for all links, as one each adds up to tens of thousands over a fleet's machine."""
@@ -417,12 +445,19 @@
             if self._rising:
                 wait = min(wait, self._rising[0].up_by - now)
             endings: list[t.Ended] = []
-            for number, what in self._poll.poll(max(wait, 0.001)):
+            for number, what in self._look(max(wait, 0.001)):
                 if link := self._by_number.get(number):
                     link.seen(what, endings)
             if endings:
                 self._report(endings)
 
+    def _look(self, seconds: float) -> list[tuple[int, int]]:
+        """What has happened to the links within some time."""
+        try:
+            return self._poll.poll(seconds)
+        except OSError:  # guards the reader, without which no answer would be read any more
+            return []
+
     @property
     def held(self) -> int:
         return sum(len(link.out) for links in list(self._links.values()) for link in list(links))
@@ -501,7 +536,8 @@
                     link.fail(LinkEnd.IDLE)
                 if link.closable:
                     del self._by_number[link.number]
-                    link.sock.close()
+                    with contextlib.suppress(OSError):
+                        link.sock.close()
                 else:
                     kept.append(link)
             if kept:
--- a/gingervane/node/peers.py
+++ b/gingervane/node/peers.py
@@ -8,7 +8,8 @@
 import contextlib
 import socket
 from collections.abc import Callable
-from threading import Thread
+
+from gingervane.wire.local import patiently, start_thread
 
 Address = tuple[str, int]
 MOST_BYTES = 256  # the protocol's bound
@@ -21,14 +22,14 @@
         self, listen: Address, peers: tuple[Address, ...], everyone: Address | None, me: int,
         heard: Callable[[int, bytes], None],
     ) -> None:
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock = patiently(lambda: socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
         self._sock.bind(listen)
         self._number = {where: number for number, where in enumerate(peers) if number != me}
         self._targets = [everyone] if everyone else list(self._number)
         self._heard = heard
 
     def start(self) -> None:
-        Thread(target=self._run, name="peers", daemon=True).start()
+        start_thread(self._run, "peers")
 
     def tell(self, payload: bytes) -> None:
         for target in self._targets if len(payload) <= MOST_BYTES else ():
--- a/gingervane/node/telemetry.py
+++ b/gingervane/node/telemetry.py
@@ -20,6 +20,8 @@
 from threading import Event, Lock, Thread
 from typing import Protocol, TextIO
 
+from gingervane.wire.local import start_thread
+
 DUMP_EVERY = 10.0  # seconds between two lines of counters
 MOST_WAITING = 2048  # lines that may wait to be written
 BURST, RATE = 60, 20.0  # lines of one event: at once, and a second in the long run
@@ -88,10 +90,10 @@
         self._limiter = Limiter()
         self._ended = Event()
         self.dropped: Counter[str] = Counter()  # lines not written, by event
-        self._thread = Thread(target=self._run, name="log", daemon=True)
+        self._thread: Thread | None = None
 
     def start(self) -> None:
-        self._thread.start()
+        self._thread = start_thread(self._run, "log")
 
     def emit(self, record: logging.LogRecord) -> None:
         """Called under the handler's lock."""
@@ -112,7 +114,7 @@
             self._waiting.put_nowait(None)
         except Full:
             return
-        if self._thread.ident:
+        if self._thread:
             self._ended.wait(JOIN)
 
     def _run(self) -> None:
--- a/gingervane/vectors/travel.py
+++ b/gingervane/vectors/travel.py
@@ -83,10 +83,10 @@
     def __init__(self, collection: Collection, shards: int) -> None:
         self._collection, self._shards = collection, shards
 
-    def write(self, contents: list[Any], seconds_left: float, address: tuple[str, int]) -> bytes:
+    def write(self, contents: list[Any], seconds_left: list[float], address: tuple[str, int]) -> bytes:
         searches = [{**one, "shard_key": f"s{c.shard}"} for c in contents for one in c.searches]
         target = f"/collections/{self._collection.name}/points/search/batch"
-        return request("POST", target, address, orjson.dumps({"searches": searches}), seconds_left)
+        return request("POST", target, address, orjson.dumps({"searches": searches}), min(seconds_left))
 
     def read(self, contents: list[Any], status: int, header: Callable[[str], str], body: bytes) -> list[Any]:
         lists = result_of(status, header, body)
@@ -132,12 +132,12 @@
         any more; on a sender's thread."""
         self._collection, self._key, self._version, self._acked = collection, key, version, acked
 
-    def write(self, contents: list[Any], seconds_left: float, address: tuple[str, int]) -> bytes:
+    def write(self, contents: list[Any], seconds_left: list[float], address: tuple[str, int]) -> bytes:
         operations = [{c.kind: {**c.body, "shard_key": f"s{c.shard}"}} for c in contents]
         target = f"/collections/{self._collection.name}/points/batch?wait=true"
         fields = ((KEY_HEADER, self._key),) if self._key else ()
         return request(
-            "POST", target, address, orjson.dumps({"operations": operations}), seconds_left,
+            "POST", target, address, orjson.dumps({"operations": operations}), min(seconds_left),
             (*fields, (VERSION_HEADER, str(self._version))),
         )
 
--- a/gingervane/wire/frames.py
+++ b/gingervane/wire/frames.py
@@ -46,10 +46,11 @@
     return _LENGTH.pack(1 + len(rest)) + letter + rest
 
 
-def call(parts: list[Asked], wait_ms: int) -> bytes:
-    """One call. `wait_ms`: how long the co-ordinator will wait."""
+def call(parts: list[Asked], waits_ms: list[int]) -> bytes:
+    """One call. `waits_ms`: how long the co-ordinator will wait for each part."""
     lines = [
-        f"{p.id} {p.shard} d={wait_ms}{p.words} {len(p.text)}\n".encode() + p.text for p in parts
+        f"{p.id} {p.shard} d={wait_ms}{p.words} {len(p.text)}\n".encode() + p.text
+        for p, wait_ms in zip(parts, waits_ms, strict=True)
     ]
     return frame(CALL, b"".join(lines))
 
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -312,6 +312,13 @@
 # ---- a campaign
 
 
+def shim(seed: int, words: str) -> dict[str, str]:
+    """The environment that loads failing system calls into a node; `words` is RATE:STEP, or nothing."""
+    if not words:
+        return {}
+    return {"PYTHONPATH": str(Path(__file__).parent / "shim"), "RIG_SHIM": f"{seed}:{words}"}
+
+
 def _seeds(text: str) -> list[int]:
     first, _, last = text.partition("-")
     return list(range(int(first), int(last or first) + 1))
@@ -324,12 +331,16 @@
     parser.add_argument("--seconds", type=float, default=3.0)
     parser.add_argument("--root", type=Path, default=ROOT)
     parser.add_argument("--python", default=sys.executable)
+    parser.add_argument("--shim", default="", help="RATE:STEP of failing calls and of the wall clock (s)")
     parser.add_argument("--show", type=int, default=3, help="breaks to print for each run")
     options = parser.parse_args()
     total, rules, statuses, faults = Counter[str](), Counter[str](), Counter[int](), Counter[str]()
     with ThreadPoolExecutor(options.at_once) as pool:
         runs = pool.map(
-            lambda seed: play(draw(seed, options.seconds), options.root, options.python), _seeds(options.seeds)
+            lambda seed: play(
+                draw(seed, options.seconds), options.root, options.python, shim(seed, options.shim)
+            ),
+            _seeds(options.seeds),
         )
         for run in runs:
             total.update(runs=1, requests=run.requests, attempts=run.attempts, second_steps=run.second_steps,
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -32,7 +32,7 @@
 class Plain:
     """An exchange that is never asked to do anything."""
 
-    def write(self, contents: list[Any], seconds_left: float, address: tuple[str, int]) -> bytes:
+    def write(self, contents: list[Any], seconds_left: list[float], address: tuple[str, int]) -> bytes:
         raise NotImplementedError
 
     def read(self, contents: list[Any], status: int, header: Callable[[str], str], body: bytes) -> list[Any]:
--- a/tests/test_incident_partial.py
+++ b/tests/test_incident_partial.py
@@ -144,7 +144,7 @@
 class _Contents:
     """An exchange that is never asked to write."""
 
-    def write(self, contents: list[Any], seconds_left: float, address: tuple[str, int]) -> bytes:
+    def write(self, contents: list[Any], seconds_left: list[float], address: tuple[str, int]) -> bytes:
         raise NotImplementedError
 
     def size(self, result: Any) -> int:
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -310,7 +310,7 @@
     from gingervane.wire.pool import Pool, exchange
 
     class Counted:
-        def write(self, contents: list[Any], seconds_left: float, address: tuple[str, int]) -> bytes:
+        def write(self, contents: list[Any], seconds_left: list[float], address: tuple[str, int]) -> bytes:
             return http1.head(f"GET /count/{'+'.join(contents)} HTTP/1.1", [("Host", "x")])
 
         def read(
