Starts of replicas are placed without trusting a wall clock that may be stepped

Cause: node/discovery.py turned born_ms into monotonic time by one offset read at the start. A wall clock ahead by more than a ramp made each cold replica pass for a warm one; one behind made starts lie in the future. Change: node/starts.py. Open: a clock that was ahead before the start, for the first list; steps under 3 s.

--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -29,6 +29,7 @@
 from gingervane import interface as api
 from gingervane.coordinator import types as t
 from gingervane.node.config import Address, parse_address
+from gingervane.node.starts import StartClock
 from gingervane.node.telemetry import Log
 from gingervane.wire import http1
 from gingervane.wire.http1 import Closed, HttpError, Limits, Reader
@@ -61,13 +62,17 @@
 
 
 class ListReader:
-    """Turns discovery's lists into the driver's input. `clock_offset`: this clock's seconds less Unix time."""
+    """Turns discovery's lists into the driver's input."""
 
-    def __init__(self, zones: tuple[str, ...], clock_offset: float, log: Log) -> None:
-        self._zones, self._offset, self._log = zones, clock_offset, log
+    def __init__(self, zones: tuple[str, ...], starts: StartClock, log: Log) -> None:
+        self._zones, self._starts, self._log = zones, starts, log
         self._hosts: dict[int, str] = {}
         self.version = 0
 
+    def alive(self) -> None:
+        """A line has come, whatever is in it: up to now nothing else has changed."""
+        self._starts.heard()
+
     def host(self, replica: int) -> str:
         """The name of a replica, for logs. Any thread; a replica long gone is told by its number."""
         return self._hosts.get(replica, str(replica))
@@ -101,6 +106,7 @@
             found[replica.id] = replica, where
             names[replica.id] = str(entry["host"])
         self._remember(names, whole)
+        found = self._placed(found, cached)
         for replica, _ in found.values():
             if not whole or replica.state is not api.ReplicaState.READY:
                 self._log(
@@ -112,6 +118,17 @@
         addresses = {number: where for number, (_, where) in found.items() if where}
         return t.Listed(api.MembershipChanged(kind, tuple(replica for replica, _ in found.values())), addresses)
 
+    def _placed(
+        self, found: dict[int, tuple[api.Replica, Address | None]], cached: bool,
+    ) -> dict[int, tuple[api.Replica, Address | None]]:
+        """The same entries with starts on the monotonic clock."""
+        listed = {n: r.started_at for n, (r, _) in found.items() if r.state is not api.ReplicaState.GONE}
+        before = self._starts.corrections
+        places = self._starts.place(listed, cached)
+        if self._starts.corrections > before:
+            self._log("wall_clock_doubted", corrections=self._starts.corrections)
+        return {n: (r._replace(started_at=places.get(n, 0.0)), where) for n, (r, where) in found.items()}
+
     def _remember(self, names: dict[int, str], whole: bool) -> None:
         """Keep names for the log; those that a whole list does not hold are forgotten, which bounds the memory."""
         if not whole:
@@ -130,8 +147,7 @@
         replica = api.Replica(
             id=replica_id(str(entry["host"])), cell=int(entry["block"]), zone=zone,
             weight=float(entry.get("share", 1.0)), state=_STATES[entry["health"]],
-            # 0 is long ago. One offset for good: a start that seemed to move would pass for a restart.
-            started_at=born / 1000 + self._offset if born else 0.0,
+            started_at=born / 1000,  # in Unix time, 0 for long ago; `_placed` makes it monotonic
         )
         return replica, where
 
@@ -253,6 +269,7 @@
             for data in reader.pieces(reply.headers):
                 if b"\n" in data:
                     line_by = time.monotonic() + SILENCE
+                    self._reader.alive()
                 for value, sound in values.feed(data):
                     anew = not self._take(value, sound, anew) and anew
             raise Closed(clean=True)
@@ -286,7 +303,3 @@
             self._tell(listed)
         return True
 
-
-def clock_offset() -> float:
-    """The monotonic clock's seconds less Unix time, as this process starts."""
-    return time.monotonic() - time.time()
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -25,9 +25,10 @@
 from gingervane.node import config as configuration
 from gingervane.node.clients import ClientFront
 from gingervane.node.config import Config, ConfigError
-from gingervane.node.discovery import ListError, ListReader, Watch, clock_offset
+from gingervane.node.discovery import ListError, ListReader, Watch
 from gingervane.node.links import SPARE, LinkEnded, LinkLimits, Links
 from gingervane.node.peers import Peers
+from gingervane.node.starts import StartClock
 from gingervane.node.telemetry import Telemetry
 from gingervane.policy import Coordinator
 from gingervane.wire.http1 import Limits
@@ -114,7 +115,7 @@
         # Half for replicas, half for clients, who need no more than a third for requests.
         links = max(config.sockets // 2 - OWN_DESCRIPTORS - SPARE, 1)
         limits = LinkLimits(config.streams, links, 0.8 * config.conn_idle, config.connect_timeout)
-        reader = ListReader(config.zones, clock_offset(), telemetry.info)
+        reader = ListReader(config.zones, StartClock(), telemetry.info)
         # Room for every part of as many queries as there can be connections: descriptors bound it, not this.
         most = Bounds(config.sockets * (1 + config.shards), 64 << 20)
         self.core = Core(
