Windows of keys and kept lists go by real time; a failing folder promises nothing

Cause, wall clock: the windows of keyed writes, their log and the age of kept lists went by time.time: a step forward forgot keys early, so that an effect could run twice; one back let a key be sent again after its window. Cause, folder: after a failed forcing the segment was cut and used again, though its descriptor proves nothing; a segment whose folder could not be forced was kept in use; intend waited for a hanging disk for ever. Change: a failed segment is left and a new one opened, each with a head that names the boot; a segment that cannot be begun is closed; intend has the client's time; what waits is bounded. Files of before are read (their keys count as another boot's).

--- a/gingervane/coordinator/intent_log.py
+++ b/gingervane/coordinator/intent_log.py
@@ -9,25 +9,40 @@
 else is told with its place; the rest of that segment is passed over, and the log says so (`damaged`), as keys in it
 may have run.
 
+Times are of `clock.seconds`, which no step of the wall clock touches. Each segment says of which boot of the machine
+they are: of an entry from before another boot it is not known how long ago its key may have been sent, so it counts
+as out of its window.
+
+A disk that fails: a segment whose writing or forcing failed is left, since after a failed forcing the same descriptor
+proves nothing of what it held, and the next record opens a new one. What such a segment may hold beyond what was
+promised reads as a write that may have run, which is safe. A disk that hangs holds up nobody past its own time.
+
 Owners: `_lock` is over what waits to be written; the file is the writer thread's.
 """
 
 from __future__ import annotations
 
+import errno
 import os
 import struct
 import threading
+import time
 import zlib
 from collections.abc import Callable
+from contextlib import suppress
+from math import inf
 from pathlib import Path
 from typing import NamedTuple
 
 import orjson
 
+from gingervane.coordinator import clock
 from gingervane.coordinator.intents import Entry, State
 
+_NO_BOOT = "no boot"  # where the system tells no id: no entry is of the same boot
 _HEAD = struct.Struct("<II")
 MOST_RECORD = 1 << 20
+MOST_WAITING = 100_000  # records that may wait for the disk
 
 
 class LogError(OSError):
@@ -59,9 +74,19 @@
     return key, Entry(State(state), digest, version, first, at, result)
 
 
-def read(data: bytes, into: dict[str, Entry]) -> tuple[int, int, str]:
-    """Records of one segment: how many, how many bytes of it are good, and what is wrong after them."""
+def boot_record(boot: str) -> bytes:
+    """Says that the times of what follows are of this boot."""
+    return frame(orjson.dumps(["", boot]))
+
+
+def read(data: bytes, into: dict[str, Entry], boot: str = "", now: float = 0.0) -> tuple[int, int, str]:
+    """Records of one segment: how many, how many bytes of it are good, and what is wrong after them.
+
+    `boot` and `now`: of the reader. Entries of another boot are out of their window, as of now; a reader that gives
+    no boot takes all times as they are.
+    """
     at = count = 0
+    written_in = ""
     while at < len(data):
         if at + _HEAD.size > len(data):
             return count, at, "torn head"
@@ -72,10 +97,14 @@
         if zlib.crc32(content) != crc:
             return count, at, "a record does not fit its checksum"
         try:
+            if content.startswith(b'["",'):
+                _, written_in = orjson.loads(content)
+                at += _HEAD.size + length
+                continue
             key, entry = unpack(content)
         except (ValueError, TypeError) as error:
             return count, at, f"a record makes no sense: {error}"
-        into[key] = entry
+        into[key] = entry if written_in == boot or not boot else entry._replace(first=-inf, at=now)
         at += _HEAD.size + length
         count += 1
     return count, at, ""
@@ -88,7 +117,7 @@
         self, folder: Path, keep: float, now: Callable[[], float], segment_bytes: int = 8 << 20,
         write: Callable[[int, bytes], int] = os.write, force: Callable[[int], None] = os.fdatasync,
     ) -> None:
-        """`now`: Unix time. `write` and `force` stand for the disk."""
+        """`now`: as `clock.seconds`. `write` and `force` stand for the disk."""
         self._folder, self._keep, self._now, self._size = folder, keep, now, segment_bytes
         self._write_to, self._force = write, force
         self._turn = threading.Condition()
@@ -106,7 +135,7 @@
         records = 0
         paths = sorted(self._folder.glob("intents-*.log"))
         for path in paths:
-            count, good, fault = read(path.read_bytes(), entries)
+            count, good, fault = read(path.read_bytes(), entries, clock.boot_id() or _NO_BOOT, self._now())
             records += count
             if fault and path == paths[-1] and fault.startswith("torn"):
                 with path.open("r+b") as file:
@@ -120,11 +149,12 @@
         self._thread.start()
         return Found(entries, faults, records)
 
-    def intend(self, key: str, entry: Entry) -> None:
-        """Returns once the intent is on the disk. Raises LogError if it is not known to be."""
+    def intend(self, key: str, entry: Entry, until: float = inf) -> None:
+        """Returns once the intent is on the disk. Raises LogError if it is not known to be by `until` (monotonic)."""
         done, failed = threading.Event(), list[BaseException]()
         self._put(pack(key, entry), done, failed)
-        done.wait()
+        if not done.wait(None if until == inf else max(until - time.monotonic(), 0.0)):
+            raise LogError("the intent was not on the disk in time")
         if failed:
             raise LogError(f"the intent could not be written: {failed[0]}") from failed[0]
 
@@ -146,6 +176,8 @@
         with self._turn:
             if self._stopped:
                 raise LogError("the log is closed")
+            if len(self._waiting) >= MOST_WAITING:
+                raise LogError(f"{len(self._waiting)} records wait for the disk")
             self._waiting.append((data, done, failed))
             self._turn.notify()
 
@@ -156,7 +188,8 @@
                     self._turn.wait()
                 batch, self._waiting = self._waiting, []
             if not batch:
-                os.close(self._file)
+                if self._file >= 0:
+                    os.close(self._file)
                 return
             fault = self._write([data for data, _, _ in batch])
             for _, done, failed in batch:
@@ -166,7 +199,7 @@
                     done.set()
 
     def _write(self, records: list[bytes]) -> OSError | None:
-        """Write and force; what a fault left is taken back, so that nothing that follows stands after a tear."""
+        """Write and force; after a fault the segment is left, so that nothing stands behind a tear."""
         data = memoryview(b"".join(records))
         try:
             if self._file < 0 or self._at >= self._size:
@@ -177,35 +210,49 @@
             self._force(self._file)
             self._at += len(data)
         except OSError as error:
-            self._cut()
+            self._leave()
             return error
         return None
 
-    def _cut(self) -> None:
-        """Take back what a failed writing left, so that it is not read as promised."""
-        if self._file >= 0:
-            try:
-                os.ftruncate(self._file, self._at)
-            except OSError:
-                os.close(self._file)
-                self._file = -1
+    def _leave(self) -> None:
+        """Be done with the segment. What the fault left is cut off if that can be; nothing rests on it."""
+        if self._file < 0:
+            return
+        with suppress(OSError):
+            os.ftruncate(self._file, self._at)
+        self._close_file()
+
+    def _close_file(self) -> None:
+        file, self._file = self._file, -1
+        self._closed[self._folder / f"intents-{self._number:08d}.log"] = self._now()
+        with suppress(OSError):
+            os.close(file)
 
     def _open_next(self) -> None:
-        """A new segment; old ones that hold nothing that is still kept are removed."""
+        """A new segment; old ones that hold nothing that is still kept are removed. Raises OSError."""
         now = self._now()
         if self._file >= 0:
-            os.close(self._file)
-            self._closed[self._folder / f"intents-{self._number:08d}.log"] = now
+            self._close_file()
         for path, newest in list(self._closed.items()):
             if now - newest > self._keep:
-                path.unlink(missing_ok=True)
-                del self._closed[path]
+                with suppress(OSError):  # it only takes room; tried again with the next segment
+                    path.unlink(missing_ok=True)
+                    del self._closed[path]
         self._number += 1
         path = self._folder / f"intents-{self._number:08d}.log"
-        self._file, self._at = -1, 0
         self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC, 0o644)
-        folder = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+        self._at = 0
         try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+            folder = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+            try:
+                os.fsync(folder)
+            finally:
+                os.close(folder)
+            head = boot_record(clock.boot_id())
+            if self._write_to(self._file, head) != len(head):
+                raise OSError(errno.ENOSPC, "a short write at the head of a segment")
+            self._at = len(head)
+        except OSError:
+            # Its name may not last, or its times cannot be read: nothing may be promised in it.
+            self._close_file()
+            raise
--- a/gingervane/coordinator/replicated.py
+++ b/gingervane/coordinator/replicated.py
@@ -15,6 +15,7 @@
 
 from gingervane import interface as api
 from gingervane.coordinator import types as t
+from gingervane.coordinator.clock import seconds as real_seconds
 from gingervane.coordinator.core import Core, Observer
 from gingervane.coordinator.debts import Budget, Debts, Place
 from gingervane.coordinator.desk import Desk
@@ -85,7 +86,7 @@
         """Read back what an earlier process knew, before anything is asked."""
         if keys.folder is None:
             return None
-        log = IntentLog(keys.folder, keys.keep, time.time)
+        log = IntentLog(keys.folder, keys.keep, real_seconds)
         found = log.recover()
         for fault in found.faults:
             complain(fault)
--- a/gingervane/coordinator/writes.py
+++ b/gingervane/coordinator/writes.py
@@ -17,6 +17,7 @@
 
 from gingervane import interface as api
 from gingervane.coordinator import types as t
+from gingervane.coordinator.clock import seconds as real_seconds
 from gingervane.coordinator.core import Answers, Refused, Ticket
 from gingervane.coordinator.debts import Place
 from gingervane.coordinator.desk import Desk
@@ -86,9 +87,9 @@
 
     def __init__(
         self, desk: Desk, holders: Holders, quorum: int, width: int, intents: Intents, log: IntentLog | None,
-        clock: Clock, owed: Owed, remark: Callable[[str], None], now: Callable[[], float] = time.time,
+        clock: Clock, owed: Owed, remark: Callable[[str], None], now: Callable[[], float] = real_seconds,
     ) -> None:
-        """`desk`: of the core that decides writes; `now` is Unix time."""
+        """`desk`: of the core that decides writes; `now`: as `clock.seconds`, for the windows of keys."""
         self._desk, self._holders, self._quorum, self._width = desk, holders, quorum, width
         self._intents, self._log, self._clock, self._owed = intents, log, clock, owed
         self._remark, self._now = remark, now
@@ -124,7 +125,7 @@
         outcome = Outcome(Do.SEND, State.IDLE, "the write could not be begun", 1.0)
         try:
             if self._log:
-                self._log.intend(key, entry)
+                self._log.intend(key, entry, work.until)
             # Whatever goes wrong from here on, some of it may have run.
             outcome = Outcome(Do.SEND, State.UNKNOWN, "internal: the write was not seen to its end")
             left = decision.until - self._now()
--- a/gingervane/membership/durable.py
+++ b/gingervane/membership/durable.py
@@ -14,6 +14,7 @@
 from typing import Any, NamedTuple
 
 from gingervane import interface as api
+from gingervane.coordinator import clock
 from gingervane.membership.store import MAGIC, Disk, NewerVersion, Store, StoreError
 from gingervane.membership.view import Member
 
@@ -25,6 +26,7 @@
 
     members: tuple[Member, ...]
     age: float
+    offset: float  # turns the kept Unix times into the members' clock
     merge: dict[str, Any] | None = None
     view: dict[str, Any] | None = None
 
@@ -44,7 +46,10 @@
         self, members: tuple[Member, ...], merge: dict[str, Any] | None = None, view: dict[str, Any] | None = None,
     ) -> None:
         """Raises StoreError, or OSError; what was kept before then stands."""
-        body = {"at": time.time(), "rows": _rows(members, self._offset), "merge": merge, "view": view}
+        body = {
+            "at": time.time(), "boot": list(clock.moment()), "offset": self._offset,
+            "rows": _rows(members, self._offset), "merge": merge, "view": view,
+        }
         self._store.save(json.dumps(body, separators=(",", ":")).encode())
 
     def load(self) -> Kept | None:
@@ -67,12 +72,13 @@
 
     def _read(self, path: Path, body: Any) -> Kept:
         try:
+            age, offset = self._age(body)
             members = tuple(
                 Member(number, name, (host, port), zone, cell, api.ReplicaState(state),
-                       None if started is None else started + self._offset, *created)
+                       None if started is None else started + offset, *created)
                 for number, name, host, port, zone, cell, state, started, *created in body["rows"]
             )
-            kept = Kept(members, max(time.time() - float(body["at"]), 0.0), body.get("merge"), body.get("view"))
+            kept = Kept(members, age, offset, body.get("merge"), body.get("view"))
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             raise StoreError(f"{path}: a row does not make sense: {error}") from None
         if not members or any(not 0 <= m.zone < self._zones or not 0 <= m.cell < self._cells for m in members):
@@ -80,6 +86,20 @@
         return kept
 
 
+    def _age(self, body: Any) -> tuple[float, float]:
+        """How old a kept list is, and the offset of its times.
+
+        Of the same boot both are exact, whatever the wall clock did since. Else the wall clock is all there is.
+        Raises ValueError, TypeError or KeyError for a body that makes no sense.
+        """
+        at = float(body["at"])
+        boot, seconds = body.get("boot", ("", 0.0))
+        age = clock.since(clock.Moment(str(boot), float(seconds)))
+        if age is None:
+            return max(time.time() - at, 0.0), self._offset
+        return age, float(body["offset"])
+
+
 def _rows(members: tuple[Member, ...], offset: float) -> list[list[Any]]:
     return [
         [m.id, m.name, m.address[0], m.address[1], m.zone, m.cell, m.state.value,
--- a/gingervane/membership/sources.py
+++ b/gingervane/membership/sources.py
@@ -96,7 +96,7 @@
                 return None
             if kept.merge is not None:
                 self._merge.restore(kept.merge, time.monotonic(), kept.age)
-            self._view.restore(kept.view or {"started": {}, "gone": []}, kept.members, self._offset)
+            self._view.restore(kept.view or {"started": {}, "gone": []}, kept.members, kept.offset)
         except (StoreError, ValueError, OSError) as error:
             self._complain(f"no kept list: {error}")
             return None
--- a/gingervane/membership/view.py
+++ b/gingervane/membership/view.py
@@ -14,6 +14,7 @@
 from typing import Any, NamedTuple
 
 from gingervane import interface as api
+from gingervane.coordinator.starts import LISTING_LAG
 from gingervane.coordinator.types import Listed
 
 
@@ -41,6 +42,7 @@
         self._started: dict[int, float] = {}
         self._gone: set[int] = set()
         self._first = True
+        self._told: float | None = None  # when the last list came that was not a kept one
 
     @property
     def members(self) -> dict[int, Member]:
@@ -57,6 +59,7 @@
             m.id for m in members if m.state is not api.ReplicaState.GONE
         }
         self._members, self._first = named, False
+        self._told = self._told if cached else now
         kind = api.ListKind.CACHED if cached else api.ListKind.FULL
         return self._listed(kind, members)
 
@@ -79,6 +82,7 @@
             self._members[number] = member
             (self._gone.add if member.state is api.ReplicaState.GONE else self._gone.discard)(number)
             rows.append(member)
+        self._told = now
         return self._listed(api.ListKind.DELTA, tuple(rows)) if rows else None
 
     def whole(self, kind: api.ListKind = api.ListKind.FULL) -> Listed:
@@ -109,10 +113,18 @@
         back = member.id in self._gone and member.state is not api.ReplicaState.GONE
         moved = was is not None and was.address != member.address
         if member.started_at is not None:
-            self._started[member.id] = member.started_at
+            if was is None or was.started_at != member.started_at or member.id not in self._started:
+                self._started[member.id] = self._placed(member.started_at, now)
         elif not self._first and (back or moved or was is None):
             self._started[member.id] = now
 
+    def _placed(self, started: float, now: float) -> float:
+        """A start as far as it can be: not after it was told of, and a new one not long before the list behind which
+        it came. Guards against a wall clock that is off, by which a cold replica would pass for a warm one."""
+        if self._told is not None and started < self._told - LISTING_LAG:
+            return now
+        return min(started, now)
+
     def _listed(self, kind: api.ListKind, members: tuple[Member, ...]) -> Listed:
         started = self._started
         rows = tuple(
--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -29,7 +29,7 @@
 from gingervane import interface as api
 from gingervane.coordinator import types as t
 from gingervane.node.config import Address, parse_address
-from gingervane.node.starts import StartClock
+from gingervane.coordinator.starts import StartClock
 from gingervane.node.telemetry import Log
 from gingervane.wire import http1
 from gingervane.wire.http1 import Closed, HttpError, Limits, Reader
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -28,7 +28,7 @@
 from gingervane.node.discovery import ListError, ListReader, Watch
 from gingervane.node.links import SPARE, LinkEnded, LinkLimits, Links
 from gingervane.node.peers import Peers
-from gingervane.node.starts import StartClock
+from gingervane.coordinator.starts import StartClock
 from gingervane.node.telemetry import Telemetry
 from gingervane.policy import Coordinator
 from gingervane.wire.http1 import Limits
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -19,7 +19,7 @@
 from gingervane.coordinator import types as t
 from gingervane.node import discovery
 from gingervane.node.discovery import ListReader, Watch, WatchState
-from gingervane.node.starts import StartClock
+from gingervane.coordinator.starts import StartClock
 from platform_standins import (
     HEAD, NO_LENGTH, PATIENCE, SETTINGS, Calls, Platform, Recorded, Replica, Waiter, chunk, host, line, until,
 )
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import random
 import threading
@@ -16,6 +17,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from gingervane.coordinator import clock, intent_log
 from gingervane.coordinator.debts import Budget, Debts, Mark, Place, plan
 from gingervane.coordinator.intent_log import IntentLog, LogError, frame, pack, read
 from gingervane.coordinator.intents import Decision, Do, Entry, Intents, Limits, State
@@ -229,6 +231,130 @@
     assert set(found.entries) == {"a", "c"} and not found.faults
 
 
+class FailingDisk:
+    """What a log does to a disk, of which some calls fail."""
+
+    def __init__(self) -> None:
+        self.write_fails = self.force_fails = 0
+        self.held = threading.Event()
+        self.held.set()
+        self.forced: list[int] = []
+
+    def write(self, file: int, data: bytes) -> int:
+        if self.write_fails:
+            self.write_fails -= 1
+            raise OSError(errno.EIO, "Input/output error")
+        return os.write(file, data)
+
+    def force(self, file: int) -> None:
+        self.held.wait(30.0)
+        if self.force_fails:
+            self.force_fails -= 1
+            raise OSError(errno.EIO, "Input/output error")
+        self.forced.append(os.fstat(file).st_ino)
+        os.fdatasync(file)
+
+
+def logged(folder: Path, disk: FailingDisk) -> IntentLog:
+    log = IntentLog(folder, 1e9, clock.seconds, write=disk.write, force=disk.force)
+    log.recover()
+    return log
+
+
+def entries_of(folder: Path) -> set[str]:
+    log = logged(folder, FailingDisk())
+    log.close()
+    found: dict[str, Entry] = {}
+    for path in folder.glob("intents-*.log"):
+        read(path.read_bytes(), found)
+    return set(found)
+
+
+def test_after_a_failed_forcing_its_descriptor_is_used_no_more(tmp_path: Path) -> None:
+    """The kernel drops what it could not write and marks it clean: a later forcing proves nothing of it."""
+    disk = FailingDisk()
+    log = logged(tmp_path, disk)
+    log.intend("a", entry(1))
+    disk.force_fails = 1
+    with pytest.raises(LogError):
+        log.intend("b", entry(2))
+    log.intend("c", entry(3))
+    log.close()
+    assert len(disk.forced) == 2 and disk.forced[0] != disk.forced[1], "in another file"
+    assert {"a", "c"} <= entries_of(tmp_path)
+
+
+@pytest.mark.parametrize("call", ["folder", "head", "cut"])
+def test_a_segment_that_cannot_be_begun_promises_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str,
+) -> None:
+    """A new file whose folder was not forced was kept in use: its name, and all in it, could be lost."""
+    disk = FailingDisk()
+    log = logged(tmp_path, disk)
+    log.intend("a", entry(1))
+    name = "ftruncate" if call == "cut" else "fsync"
+    real, failing = getattr(os, name), [call != "head"]
+
+    def fails(*args: Any) -> Any:
+        if failing[0]:
+            raise OSError(errno.EIO, "Input/output error")
+        return real(*args)
+
+    monkeypatch.setattr(os, name, fails)
+    disk.force_fails = 1
+    with pytest.raises(LogError):
+        log.intend("b", entry(2))
+    if call != "cut":  # the next segment cannot be begun either
+        disk.write_fails = call == "head"
+        with pytest.raises(LogError):
+            log.intend("b2", entry(2))
+    failing[0] = False
+    log.intend("c", entry(3))
+    log.close()
+    assert {"a", "c"} <= entries_of(tmp_path)
+
+
+def test_a_disk_that_hangs_outlasts_no_client(tmp_path: Path) -> None:
+    disk = FailingDisk()
+    log = logged(tmp_path, disk)
+    disk.held.clear()
+    with pytest.raises(LogError, match="in time"):
+        log.intend("a", entry(1), time.monotonic() + 0.05)
+    disk.held.set()
+    log.intend("b", entry(2), time.monotonic() + 30.0)
+    log.close()
+
+
+def test_what_waits_for_a_disk_is_bounded(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(intent_log, "MOST_WAITING", 5)
+    disk = FailingDisk()
+    log = logged(tmp_path, disk)
+    disk.held.clear()
+    with pytest.raises(LogError, match="wait for the disk"):
+        for number in range(50):
+            log.note(f"k{number}", entry(number))
+    disk.held.set()
+    log.close()
+
+
+def test_a_key_from_before_another_boot_is_out_of_its_window(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nothing tells how long ago it may have been sent: the safe side is not to send it again."""
+    now = clock.seconds()
+    log = logged(tmp_path, FailingDisk())
+    log.intend("k", Entry(State.OPEN, "d", 1, now, now))
+    log.close()
+    for boot, expected in ((clock.boot_id(), Do.SEND), ("another", Do.TOO_LATE)):
+        monkeypatch.setattr(clock, "boot_id", lambda boot=boot: boot)
+        intents = Intents(LIMITS)
+        again = IntentLog(tmp_path, 1e9, clock.seconds)
+        found = again.recover().entries["k"]
+        again.close()
+        intents.restore("k", found)
+        assert intents.begin("k", "d", 2, clock.seconds()).do is expected
+
+
 def test_many_intents_share_a_forcing(tmp_path: Path) -> None:
     forced, gate = [0], threading.Event()
 
--- a/tests/test_json_values.py
+++ b/tests/test_json_values.py
@@ -14,7 +14,7 @@
 from gingervane.node import discovery
 from gingervane.node.config import parse_address
 from gingervane.node.discovery import ListReader, Watch
-from gingervane.node.starts import StartClock
+from gingervane.coordinator.starts import StartClock
 from gingervane.wire.json_values import Found, JsonValues, TooLong
 from platform_standins import Discovery, Recorded, Waiter
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -24,7 +24,7 @@
 from gingervane.coordinator.types import Call, Listed
 from gingervane.node.config import ConfigError, read
 from gingervane.node.discovery import ListReader, replica_id
-from gingervane.node.starts import StartClock
+from gingervane.coordinator.starts import StartClock
 from gingervane.node.links import SPARE, Links
 from gingervane.wire import frames
 from platform_standins import (
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gingervane.node.starts import LISTING_LAG, StartClock
+from gingervane.coordinator.starts import LISTING_LAG, StartClock
 
 HOUR = 3600.0
 
--- /dev/null
+++ b/tests/test_terms.py
@@ -0,0 +1,431 @@
+"""The terms that hold since the incident, each forced: deadlines passed on, requests that were read, calls
+that fail, a wall clock that is stepped.
+
+What a client that leaves early must not cause is in `test_connections.py` (`LEAVING`), the failing folder in
+`test_intents.py`, placed starts in `test_starts.py`.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import re
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from faults.plans import draw
+from faults.rig import play, shim
+from gingervane import interface as api
+from gingervane.coordinator import clock
+from gingervane.coordinator import types as t
+from gingervane.coordinator.driver import Driver
+from gingervane.coordinator.intents import Do, Intents, Limits, State
+from gingervane.fronts import connections as connections_module
+from gingervane.fronts.connections import Connections
+from gingervane.fronts.http_server import Exchange, Handler, HttpServer, Reply, ServerLimits, plain
+from gingervane.fronts.leaves import RemoteReadExchange
+from gingervane.interface import Outcome
+from gingervane.node.links import FrameTravel, LinkEnd, LinkEnded, LinkLimits, Links, _Link
+from gingervane.policy import Coordinator
+from gingervane.wire import local
+from gingervane.wire.frames import Asked
+from gingervane.wire.http1 import Request
+from hosts import BASE, query_class, replica
+from platform_standins import PATIENCE, Platform, Replica, Waiter, reply, request, until
+
+LIMITS = LinkLimits(streams=8, links=4, idle=PATIENCE, connect=PATIENCE)
+
+
+# ---- the deadline that is passed on
+
+
+def test_parts_of_one_call_are_each_told_their_own_time(tmp_path: Path) -> None:
+    """One batch sends the parts of two queries to one replica: the one with 1.2 s left had it told 7.89 s."""
+    config = BASE._replace(classes=(query_class(aim=2.0, deadline=8.0),), coordinators=1, parts_per_call=8)
+    driver = Driver(Coordinator(config, 5), config)
+    driver.step(10.0, [t.Listed(
+        api.MembershipChanged(api.ListKind.FULL, (replica(1),)), {1: ("127.0.0.1", 1)},
+    )])
+    travel = FrameTravel()
+
+    def arrived(number: int, left: float) -> t.Arrived:
+        part = t.PartPlan(0, 1.0, Asked(f"q{number}.0", 0, "", b"x"))
+        return t.Arrived(number, t.QueryPlan(0, 10.0 + left, (part,), travel), lambda final: None)
+
+    effects = driver.step(10.0, [arrived(1, 1.2), arrived(2, 7.9)])
+    (call,) = [effect.call for effect in effects if isinstance(effect, t.Start)]
+    left = call.seconds_left(call.errands, 10.05)
+    data = travel.write([errand.content for errand in call.errands], left, call.address)
+    told = {name: int(wait) for name, wait in re.findall(rb"(q[12])\.0 0 d=(\d+) ", data)}
+    assert 1000 <= told[b"q1"] <= 1150 and 7000 <= told[b"q2"] <= 7850
+
+
+def test_a_request_with_one_time_for_all_its_parts_is_told_the_least() -> None:
+    exchange = RemoteReadExchange("tile", 1 << 20)
+    head = exchange.write([], [7.9, 1.2], ("127.0.0.1", 1)).split(b"\r\n\r\n")[0]
+    assert b"Gingervane-Timeout-Ms: 1200" in head
+
+
+def a_call(replica: Replica, name: str, text: bytes, attempt: int = 0) -> t.Call:
+    stop_at = time.monotonic() + PATIENCE
+    errand = t.Errand(1, attempt, Asked(f"{name}.0", 0, "", text), api.Semantics.SAFE, stop_at)
+    call = t.Call(1, 1, ("127.0.0.1", replica.port), FrameTravel(), [errand], stop_at, live=1)
+    call.decided_at = time.monotonic()
+    return call
+
+
+def reports_to(told: Waiter) -> Callable[[list[t.Ended]], None]:
+    def report(endings: list[t.Ended]) -> None:
+        for each in endings:
+            told.put(each)
+
+    return report
+
+
+def tended(links: Links, true: Callable[[], object]) -> Callable[[], object]:
+    """A state that comes about as the decision thread takes its turns."""
+    def check() -> object:
+        links.tend()
+        return true()
+
+    return check
+
+
+def test_a_first_attempt_that_was_stuck_half_way_is_not_finished_late() -> None:
+    """What it tells its replica was right when it was encoded. It has proof that it never ran."""
+    there = Replica(0)
+    there.reading.clear()
+    told = Waiter()
+    links = Links(LIMITS, reports_to(told))
+    call = a_call(there, "big", b"x" * (8 << 20))
+    assert links.start(call)
+    (link,) = links._by_number.values()
+    until(tended(links, lambda: link._rest), "half a frame")
+    until(lambda: time.monotonic() - link._encoded_at > t.HAND_OVER, "its time to pass")
+    there.reading.set()  # takes bytes again
+    until(tended(links, lambda: told.items), "its ending")
+    assert told.items[0].outcome is Outcome.CONNECT_FAILED and not there.parts.items
+    links.close()
+    there.close()
+
+
+# ---- read, then closed with no answer
+
+
+def serve(handler: Handler) -> Iterator[HttpServer]:
+    server = HttpServer("127.0.0.1", 0, handler, ServerLimits())
+    server.start()
+    yield server
+    server.stop(0.0)
+
+
+def asked(server: HttpServer) -> tuple[int, dict[str, str], Any]:
+    with socket.create_connection(server.address, PATIENCE) as sock:
+        sock.sendall(request("q", "{}"))
+        return reply(sock)
+
+
+def test_a_reply_whose_time_is_up_is_a_failure_and_no_silence() -> None:
+    """Found by a rehearsal: a co-ordinator held past its client's time closed with nothing written."""
+    done = threading.Event()
+
+    def late(request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
+        return plain(200, "an answer")._replace(until=time.monotonic() - 1.0, done=done.set)
+
+    for server in serve(late):
+        status, fields, text = asked(server)
+        assert status == 504 and fields["connection"] == "close" and "time is up" in text
+        assert done.wait(PATIENCE)
+
+
+def test_a_handler_that_breaks_answers_and_the_next_is_served() -> None:
+    broken = [True]
+
+    def handler(request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
+        if broken:
+            broken.clear()
+            raise RuntimeError("a bug")
+        return plain(200, "well")
+
+    for server in serve(handler):
+        found: list[BaseException] = []
+        server.on_fault = found.append
+        assert asked(server)[0] == 500 and server.faults == 1 and isinstance(found[0], RuntimeError)
+        assert asked(server)[0] == 200
+
+
+# ---- system calls that fail
+
+
+class FailingPoll:
+    """An epoll of which some calls fail."""
+
+    def __init__(self, real: Any) -> None:
+        self.real, self.fail = real, dict[str, int]()  # call -> how many times still
+
+    def _maybe(self, call: str) -> None:
+        if self.fail.get(call, 0) > 0:
+            self.fail[call] -= 1
+            raise OSError(errno.ENOMEM, os.strerror(errno.ENOMEM))
+
+    def register(self, number: int, what: int) -> None:
+        self._maybe("register")
+        self.real.register(number, what)
+
+    def modify(self, number: int, what: int) -> None:
+        self._maybe("modify")
+        self.real.modify(number, what)
+
+    def poll(self, seconds: float) -> Any:
+        self._maybe("poll")
+        return self.real.poll(seconds)
+
+    def unregister(self, number: int) -> None:
+        self.real.unregister(number)
+
+
+LOCAL_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.ENOMEM)
+
+
+@pytest.mark.parametrize("code", LOCAL_ERRORS, ids=errno.errorcode.get)
+def test_a_connect_that_fails_here_is_not_held_against_its_replica(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, code: int,
+) -> None:
+    failing = [True]
+    real = socket.socket.connect_ex
+
+    def connect_ex(self: socket.socket, address: Any) -> int:
+        return code if failing and self.type == socket.SOCK_STREAM else real(self, address)
+
+    platform = Platform(tmp_path)
+    monkeypatch.setattr(socket.socket, "connect_ex", connect_ex)
+    assert platform.ask("q1", {0: 1.0})[0] == 503
+    failing.clear()
+    counters = platform.node.telemetry.counters
+    assert counters.get("replica_connections_ended", LinkEnd.LOCAL_FAILURE) >= 1
+    assert not any(name == "replicas_ejected" for name, _ in counters.snapshot())
+    assert platform.ask("q2", {0: 1.0})[0] == 200
+    platform.close()
+
+
+def test_an_interrupted_connect_goes_on(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    real = socket.socket.connect_ex
+
+    def connect_ex(self: socket.socket, address: Any) -> int:
+        real(self, address)
+        return errno.EINTR
+
+    platform = Platform(tmp_path)
+    monkeypatch.setattr(socket.socket, "connect_ex", connect_ex)
+    assert platform.ask("q1", {0: 1.0})[0] == 200
+    platform.close()
+
+
+@pytest.mark.parametrize("call", ["register", "modify"])
+def test_an_epoll_that_fails_ends_no_deciding(tmp_path: Path, call: str) -> None:
+    """A registration that failed on the decision thread ended it, and with it all queries."""
+    platform = Platform(tmp_path)
+    links = platform.node.core._senders
+    assert isinstance(links, Links)
+    poll = FailingPoll(links._poll)
+    links._poll = poll  # type: ignore[assignment]
+    poll.fail[call] = 1
+    first = platform.ask("q1", {0: 1.0})[0]
+    assert not platform.node.core.broken.is_set() and first in (200, 503)
+    assert platform.ask("q2", {0: 1.0})[0] == 200 and not poll.fail[call]
+    platform.close()
+
+
+def test_a_link_that_is_not_up_and_breaks_inside_has_proof_that_nothing_ran(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def came_up(self: _Link) -> None:
+        raise ValueError("a bug")
+
+    ended: list[LinkEnded] = []
+    told = Waiter()
+    there = Replica(0)
+    monkeypatch.setattr(_Link, "_came_up", came_up)
+    links = Links(LIMITS, reports_to(told), on_end=ended.append)
+    assert links.start(a_call(there, "q", b"x"))
+    assert told.wait()[0].outcome is Outcome.CONNECT_FAILED and ended[0].reason is LinkEnd.INTERNAL
+    links.close()
+    there.close()
+
+
+@pytest.mark.parametrize("code", [errno.ENOBUFS, errno.ENOMEM])
+@pytest.mark.parametrize("call", ["recv", "send"])
+def test_reads_and_writes_that_fail_for_want_of_memory_go_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str, code: int,
+) -> None:
+    """At the co-ordinator's ends of all connections; the test's own are left alone."""
+    platform = Platform(tmp_path)
+    sock = platform.client()
+    real, own, count = getattr(socket.socket, call), threading.current_thread(), [0]
+
+    def flaky(self: socket.socket, *args: Any) -> Any:
+        mine = threading.current_thread() is own or threading.current_thread().name.startswith("Thread-")
+        if not mine and count[0] < 6:
+            count[0] += 1
+            raise OSError(code, os.strerror(code))
+        return real(self, *args)
+
+    monkeypatch.setattr(socket.socket, call, flaky)
+    assert platform.ask("q1", {0: 1.0}, sock=sock)[0] == 200 and count[0] == 6
+    monkeypatch.undo()
+    platform.close()
+
+
+@pytest.fixture
+def platform(tmp_path: Path) -> Iterator[Platform]:
+    made = Platform(tmp_path)
+    yield made
+    made.close()
+
+
+def connections_of(platform: Platform) -> Connections:
+    return platform.node.server._connections
+
+
+@pytest.mark.parametrize("call", ["register", "modify", "poll"])
+def test_the_thread_that_takes_connections_outlives_a_failing_epoll(platform: Platform, call: str) -> None:
+    """A request on a connection that could not be registered waits for a moment, and is served."""
+    connections = connections_of(platform)
+    poll = FailingPoll(connections._poll)
+    connections._poll = poll  # type: ignore[assignment]
+    poll.fail[call] = 3
+    for number in range(5):
+        assert platform.ask(f"q{number}", {0: 1.0})[0] == 200
+    assert not poll.fail[call]
+
+
+class FailingListener:
+    """A listener of which the next accepts fail."""
+
+    def __init__(self, real: socket.socket, codes: list[int]) -> None:
+        self._real, self._codes = real, codes
+
+    def accept(self) -> Any:
+        if self._codes:
+            code = self._codes.pop()
+            raise OSError(code, os.strerror(code))
+        return self._real.accept()
+
+    def close(self) -> None:
+        self._real.close()
+
+
+ACCEPT_ERRORS = (errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO)
+
+
+@pytest.mark.parametrize("code", ACCEPT_ERRORS, ids=errno.errorcode.get)
+def test_an_accept_that_fails_costs_nobody_an_answer(platform: Platform, code: int) -> None:
+    connections = connections_of(platform)
+    codes = [code, code]
+    connections._listener = FailingListener(connections._listener, codes)  # type: ignore[assignment]
+    assert platform.ask("q1", {0: 1.0})[0] == 200 and not codes
+    assert platform.ask("q2", {0: 1.0})[0] == 200
+
+
+def test_an_error_of_this_machine_is_not_a_client_s_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    near, far = socket.socketpair()
+    near.setblocking(False)
+    monkeypatch.setattr(connections_module, "is_passing", local.is_passing)
+    far.sendall(b"x")
+    real = socket.socket.recv
+
+    def short_of_memory(self: socket.socket, *args: Any) -> bytes:
+        raise OSError(errno.ENOMEM, os.strerror(errno.ENOMEM))
+
+    monkeypatch.setattr(socket.socket, "recv", short_of_memory)
+    assert connections_module._unread(near) is None, "nothing is known"
+    monkeypatch.setattr(socket.socket, "recv", real)
+    assert connections_module._unread(near) is True
+    far.close()
+    near.close()
+
+
+class NoThreads:
+    """Threads for clients cannot be started, `times` times."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, times: int) -> None:
+        self.left, self._real = times, threading.Thread.start
+        monkeypatch.setattr(threading.Thread, "start", lambda thread: self._start(thread))
+
+    def _start(self, thread: threading.Thread) -> None:
+        if thread.name == "client" and self.left > 0:
+            self.left -= 1
+            raise RuntimeError("can't start new thread")
+        self._real(thread)
+
+
+def test_a_request_without_a_thread_waits_for_one(
+    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    threads = NoThreads(monkeypatch, 3)
+    assert platform.ask("q1", {0: 1.0})[0] == 200 and not threads.left
+
+
+def test_a_request_that_gets_no_thread_is_refused(
+    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    NoThreads(monkeypatch, 1 << 30)
+    assert platform.ask("q1", {0: 1.0})[0] == 503
+    assert not any(each.parts.items for each in platform.replicas)
+
+
+def test_what_a_start_needs_is_tried_for_a_while(monkeypatch: pytest.MonkeyPatch) -> None:
+    failures = [errno.EMFILE, errno.ENOBUFS, errno.ENOMEM]
+
+    def make() -> str:
+        if failures:
+            raise OSError(failures.pop(), "for a moment")
+        return "made"
+
+    assert local.patiently(make) == "made"
+    with pytest.raises(OSError, match="in use"):
+        local.patiently(lambda: (_ for _ in ()).throw(OSError(errno.EADDRINUSE, "in use")))
+    monkeypatch.setattr(local, "START_PATIENCE", 0.05)
+    with pytest.raises(OSError, match="for good"):
+        local.patiently(lambda: (_ for _ in ()).throw(OSError(errno.ENOMEM, "for good")))
+
+
+# ---- real processes, with system calls that fail and a wall clock that is stepped
+
+
+SHIMMED = ((3, "0.02:0"), (12, "0.01:3600"), (20, "0.02:-3600"), (41, "0:7200"))
+
+
+@pytest.mark.parametrize(("seed", "words"), SHIMMED)
+def test_a_seeded_run_with_failing_calls_and_a_stepped_clock_breaks_no_rule(seed: int, words: str) -> None:
+    found = play(draw(seed), env=shim(seed, words))
+    assert not found.broken and not found.ended_early and found.requests > 20
+
+
+# ---- the wall clock
+
+
+@pytest.mark.parametrize("step", [3600.0, -3600.0])
+def test_a_key_s_window_is_a_span_of_real_time(monkeypatch: pytest.MonkeyPatch, step: float) -> None:
+    """By the wall clock a step forward ended a window early; one back let a key be sent again after it."""
+    intents = Intents(Limits(window=10.0, margin=0.5, keep=3600.0))
+    now = clock.seconds()
+    assert intents.begin("k", "d", 1, now).do is Do.SEND
+    intents.end("k", State.UNKNOWN, now)
+    real = time.time
+    monkeypatch.setattr(time, "time", lambda: real() + step)
+    assert intents.begin("k", "d", 1, clock.seconds()).do is Do.SEND, "within its window"
+    intents.end("k", State.UNKNOWN, clock.seconds())
+    assert intents.begin("k", "d", 1, clock.seconds() + 10.0).do is Do.TOO_LATE
+
+
+def test_moments_of_another_boot_tell_nothing() -> None:
+    now = clock.moment()
+    assert clock.since(now) == pytest.approx(0.0, abs=PATIENCE)
+    assert clock.since(now._replace(boot="another")) is None and clock.since(clock.Moment("", 5.0)) is None
