--- /dev/null
+++ b/tests/test_answers_property.py
@@ -0,0 +1,243 @@
+"""Driver and module with drawn settings: whatever comes, in whatever order and batch, no answer is false.
+
+The machine keeps its own books of what has been answered, from what it handed to the driver, and holds each
+answer and each second step against them. On the text of the incident it finds the empty second step.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from hypothesis import settings as profile
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from gingervane import interface as api
+from gingervane.coordinator import types as t
+from gingervane.coordinator.driver import Driver
+from gingervane.policy import Coordinator
+from hosts import BASE, query_class, replica
+
+AIM, DEADLINE, SLACK = 0.5, 2.0, 1e-4  # seconds; of a sum of weights
+SHARES = ((1.0, 1.0), (0.75, 0.75), (0.5, 1.0), (0.5, 0.75), (1.0, 0.75), (0.7, 0.9))
+ROWS = tuple(replica(number, zone=number % 2) for number in range(4))
+REPLICAS = {row.id: ("127.0.0.1", row.id + 1) for row in ROWS}
+FAILURES = [o for o in api.Outcome if o not in (api.Outcome.OK, api.Outcome.CANCELLED)]
+
+
+class Content(NamedTuple):
+    """What a part holds, by which its books are found."""
+
+    query: int
+    step: int
+    shard: int
+
+
+class Travel:
+    """A protocol that is never asked to write."""
+
+    def write(self, contents: list[Any], seconds_left: list[float], address: tuple[str, int]) -> bytes:
+        raise NotImplementedError
+
+    def size(self, result: Any) -> int:
+        return 1
+
+
+class Book:
+    """One query, as its client and its replicas see it."""
+
+    def __init__(self, kind: api.QueryClass, weights: dict[int, float], deadline: float) -> None:
+        self.kind, self.weights, self.deadline = kind, weights, deadline
+        self.answered: set[tuple[int, int]] = set()  # (step, shard) of parts answered
+        self.second: tuple[int, ...] | None = None
+        self.first_whole = True
+        self.finals: list[t.Final] = []
+        self.aim = 0.0
+
+    def first_share(self, shards: set[int]) -> float:
+        return sum(self.weights[shard] for shard in shards)
+
+
+TRAVEL = Travel()
+
+
+class Machine(RuleBasedStateMachine):
+    """Settings are drawn once; then anything may come."""
+
+    @initialize(
+        shares=st.tuples(st.sampled_from(SHARES), st.sampled_from(SHARES)), second=st.tuples(
+            st.integers(0, 3), st.integers(0, 3)),
+        late=st.sampled_from([0.0, 0.3, 1.0]), semantics=st.sampled_from(list(api.Semantics)),
+        per_call=st.sampled_from([1, 3, 8]), copies=st.booleans(), cancels=st.booleans(),
+    )
+    def begin(
+        self, shares: Any, second: Any, late: float, semantics: api.Semantics, per_call: int, copies: bool,
+        cancels: bool,
+    ) -> None:
+        window = 1.0 if semantics is api.Semantics.KEYED else None
+        drawn = zip(shares, second, (api.Semantics.SAFE, semantics), strict=True)
+        self.classes = tuple(
+            query_class(AIM, DEADLINE, meaning, window, count, least, whole, late, 0.9)
+            for (least, whole), count, meaning in drawn
+        )
+        config = BASE._replace(
+            classes=self.classes, coordinators=1, parts_per_call=per_call, may_copy=copies,
+            may_cancel=cancels,
+        )
+        self.driver, self.now = Driver(Coordinator(config, 5), config), 100.0
+        self.books: dict[int, Book] = {}
+        self.out: list[t.Errand] = []  # claimed and unanswered
+        self.pending: list[t.Input] = []
+        self.list_them({})
+
+    # ---- what comes
+
+    @rule(kind=st.integers(0, 1), weights=st.lists(st.sampled_from([1.0, 1.0, 3.0]), min_size=1, max_size=6),
+          time=st.sampled_from([0.1, 0.6, 2.0]), hold=st.booleans())
+    def arrive(self, kind: int, weights: list[float], time: float, hold: bool) -> None:
+        number, total = len(self.books) + 1, sum(weights)
+        shares = {shard: round(weight / total, 6) for shard, weight in enumerate(weights)}
+        book = self.books[number] = Book(self.classes[kind], shares, self.now + time)
+        book.aim = self.now + AIM
+        parts = tuple(t.PartPlan(s, w, Content(number, 1, s)) for s, w in shares.items())
+        has_second = self.classes[kind].second_step_parts > 0
+        plan = t.QueryPlan(
+            kind, book.deadline, parts, TRAVEL, second_step=self._second_step(number) if has_second else None,
+        )
+        self.pending.append(t.Arrived(number, plan, book.finals.append))
+        if not hold:
+            self.turn()
+
+    @rule(picks=st.lists(st.integers(0, 1 << 16), min_size=1, max_size=8),
+          outcome=st.sampled_from([api.Outcome.OK] * 8 + FAILURES), hold=st.booleans())
+    def end(self, picks: list[int], outcome: api.Outcome, hold: bool) -> None:
+        for pick in picks:
+            if not self.out:
+                break
+            errand = self.out.pop(pick % len(self.out))
+            content: Content = errand.content
+            result = content if outcome is api.Outcome.OK else None
+            if result:
+                self.books[content.query].answered.add((content.step, content.shard))
+            self.pending.append(t.Ended(errand.part, errand.attempt, outcome, self.now, result))
+        if not hold:
+            self.turn()
+
+    @rule(seconds=st.sampled_from([0.001, 0.02, 0.1, AIM - 0.01, 1.0]))
+    def wait(self, seconds: float) -> None:
+        """Timers fire in batches of their own."""
+        until = self.now + seconds
+        while (due := self.driver.next_due()) <= until:
+            self.now = max(self.now, due)
+            self.turn()
+        self.now = until
+
+    @rule(seconds=st.sampled_from([0.005, 0.1, AIM, 1.0]))
+    def stand_still(self, seconds: float) -> None:
+        """Whatever is pending, and all timers due, come in one batch."""
+        self.now += seconds
+        self.turn()
+
+    @precondition(lambda self: any(book.aim > self.now for book in self.books.values()))
+    @rule(pick=st.integers(0, 1 << 16), some=st.lists(st.integers(0, 1 << 16), max_size=6))
+    def meet_an_aim(self, pick: int, some: list[int]) -> None:
+        """Answers come in the very batch in which the aim timer of a query is due."""
+        books = [book for book in self.books.values() if book.aim > self.now]
+        aim = books[pick % len(books)].aim
+        self.wait(aim - self.now - 3 * BASE.granularity)
+        self.now = aim
+        self.end(some, api.Outcome.OK, hold=True)
+        self.turn()
+
+    @precondition(lambda self: self.books)
+    @rule(pick=st.integers(0, 1 << 16), hold=st.booleans())
+    def leave(self, pick: int, hold: bool) -> None:
+        self.pending.append(t.Left(1 + pick % len(self.books)))
+        if not hold:
+            self.turn()
+
+    @rule(states=st.dictionaries(st.integers(0, 3), st.sampled_from(list(api.ReplicaState)), max_size=3))
+    def list_them(self, states: dict[int, api.ReplicaState]) -> None:
+        rows = tuple(row._replace(state=states.get(row.id, row.state)) for row in ROWS)
+        self.pending.append(t.Listed(api.MembershipChanged(api.ListKind.FULL, rows), dict(REPLICAS)))
+        self.turn()
+
+    @rule()
+    def shut(self) -> None:
+        self.pending.append(t.Shutdown())
+        self.turn()
+
+    # ---- what is checked
+
+    def turn(self) -> None:
+        inputs, self.pending = self.pending, []
+        before = {number for number, book in self.books.items() if book.finals}
+        for effect in self.driver.step(self.now, inputs):
+            match effect:
+                case t.Start(call):
+                    for errand in call.errands:
+                        assert errand.content.query not in before, "sent after its query's end"
+                        if errand.claim():
+                            self.out.append(errand)
+                case t.Settle(settled, final, _):
+                    settled(final)
+
+    def _second_step(self, number: int) -> Callable[[dict[int, Any], bool], tuple[t.PartPlan, ...]]:
+        def begin(results: dict[int, Any], whole: bool) -> tuple[t.PartPlan, ...]:
+            book = self.books[number]
+            named = {content.shard for content in results.values()}
+            assert book.second is None, "a second step twice"
+            assert named <= {shard for step, shard in book.answered if step == 1}, "names a shard not in"
+            share = book.first_share(named)
+            assert named and share >= min(book.kind.least_share, book.kind.whole_share) - SLACK
+            assert not whole or share >= book.kind.whole_share - SLACK, "marked whole that is not"
+            chosen = tuple(sorted(named)[: book.kind.second_step_parts])
+            book.second, book.first_whole = chosen, whole
+            return tuple(t.PartPlan(s, 1 / len(chosen), Content(number, 2, s)) for s in chosen)
+
+        return begin
+
+    @invariant()
+    def answers_are_honest(self) -> None:
+        for number, book in getattr(self, "books", {}).items():
+            assert len(book.finals) <= 1, "two final answers"
+            for final in book.finals:
+                assert final.reason is not api.EndReason.NOT_COVERED, "the module called a false answer"
+                if final.verdict in (t.Verdict.WHOLE, t.Verdict.SHORT):
+                    self._check(number, book, final)
+
+    def _check(self, number: int, book: Book, final: t.Final) -> None:
+        kind, step = book.kind, 2 if book.kind.second_step_parts else 1
+        got = {content.shard for content in final.results.values()}
+        assert all(content == Content(number, step, content.shard) for content in final.results.values())
+        assert got <= {shard for s, shard in book.answered if s == step}, "a part that was not answered"
+        marked = final.verdict is t.Verdict.WHOLE or final.marked_whole
+        if step == 1:
+            share = book.first_share(got)
+            assert got and share >= min(kind.least_share, kind.whole_share) - SLACK, "under its least share"
+            assert not marked or share >= kind.whole_share - SLACK, "marked whole that is not"
+            return
+        assert book.second, "no second step was asked"
+        share = len(got) / len(book.second)
+        least = kind.least_share if kind.least_share < kind.whole_share else 1.0
+        assert share >= least - SLACK, "under its least share"
+        assert not marked or (book.first_whole and share == 1.0), "marked whole that is not"
+
+    def teardown(self) -> None:
+        """All timers run out: every query has had its one end."""
+        if not hasattr(self, "books"):
+            return
+        self.turn()
+        for _ in range(3000):
+            due = self.driver.next_due()
+            if due == float("inf"):
+                break
+            self.now = max(self.now, due)
+            self.turn()
+        assert all(len(book.finals) == 1 for book in self.books.values())
+        self.answers_are_honest()
+
+
+TestAnswers = Machine.TestCase
+TestAnswers.settings = profile(max_examples=600, stateful_step_count=30, deadline=None)
