--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -77,7 +77,7 @@
 }
 
 
-# Found flaky: at 40 a second one without slow start pushes over one cold node of three (five of six plays), or
+# Found flaky: at 40 a second one without slow start pushes over a cold node of three (five of six plays) or
 # none where the machine is busy. At half as much again it pushes over all three (six of six).
 COLD: dict[str, Any] = DAY | {"clients": DAY["clients"] | {"rate": 60}}
 DAYS = {
