--- a/gingervane/membership/view.py
+++ b/gingervane/membership/view.py
@@ -114,14 +114,17 @@
         moved = was is not None and was.address != member.address
         if member.started_at is not None:
             if was is None or was.started_at != member.started_at or member.id not in self._started:
-                self._started[member.id] = self._placed(member.started_at, now)
+                self._started[member.id] = self._placed(member.started_at, now, restarted=was is not None)
         elif not self._first and (back or moved or was is None):
             self._started[member.id] = now
 
-    def _placed(self, started: float, now: float) -> float:
-        """A start as far as it can be: not after it was told of, and a new one not long before the list behind which
-        it came. Guards against a wall clock that is off, by which a cold replica would pass for a warm one."""
-        if self._told is not None and started < self._told - LISTING_LAG:
+    def _placed(self, started: float, now: float, restarted: bool) -> float:
+        """A start as far as it can be: not after it was told of, and that of a member that has restarted not long
+        before the list behind which it came. So a wall clock that is off makes no cold replica pass for a warm one.
+
+        A member that is listed for the first time may have run for long: lists are written by people too.
+        """
+        if restarted and self._told is not None and started < self._told - LISTING_LAG:
             return now
         return min(started, now)
 
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -178,7 +178,8 @@
         with contextlib.suppress(OSError):
             while True:
                 sock, _ = self._listener.accept()
-                head = sock.recv(4096).decode()
+                if not (head := sock.recv(4096).decode()):
+                    continue  # its process was killed
                 sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                 self._open.append(sock)
                 self._push(sock, {"seq": self.version, "whole": True, "hosts": self.hosts})
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -6,7 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gingervane import interface as api
 from gingervane.coordinator.starts import LISTING_LAG, StartClock
+from gingervane.membership.view import Member, View
 
 HOUR = 3600.0
 
@@ -108,3 +110,16 @@
         started = clocks.now - lag
         (placed,) = clocks.starts.place({number: 1e9 + started}).values()
         assert started - LISTING_LAG - 1e-3 <= placed <= clocks.now
+
+
+def test_a_listed_restart_is_not_placed_before_the_list_behind_which_it_came() -> None:
+    """The twin, for lists from files and catalogues: a start that changes, and one in the future."""
+    old = Member(1, "a", ("127.0.0.1", 1), 0, 0, api.ReplicaState.READY, 100.0)
+    view = View()
+    view.take((old,), 1000.0)
+    for told, now, placed in ((-2600.0, 1050.0, 1050.0), (4700.0, 1060.0, 1060.0), (1058.0, 1061.0, 1058.0)):
+        listed = view.take((old._replace(started_at=told),), now)
+        assert listed and listed.event.replicas[0].started_at == placed
+    new = old._replace(id=2, started_at=200.0)
+    listed = view.take((old, new), 1070.0)
+    assert listed and listed.event.replicas[1].started_at == 200.0, "listed late, and warm"
