--- a/gingervane/node/clients.py
+++ b/gingervane/node/clients.py
@@ -16,7 +16,7 @@
 from gingervane.coordinator import types as t
 from gingervane.coordinator.core import Core, Refused
 from gingervane.fronts.http_server import Exchange, Reply, plain
-from gingervane.node.links import FrameTravel, Value
+from gingervane.node.link import FrameTravel, Value
 from gingervane.wire.frames import Asked
 from gingervane.wire.http1 import HttpError, Request
 
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -26,7 +26,8 @@
 from gingervane.node.clients import ClientFront
 from gingervane.node.config import Config, ConfigError
 from gingervane.node.discovery import ListError, ListReader, Watch
-from gingervane.node.links import SPARE, LinkEnded, LinkLimits, Links
+from gingervane.node.link import LinkEnded, LinkLimits
+from gingervane.node.links import Links, SPARE
 from gingervane.node.peers import Peers
 from gingervane.coordinator.starts import StartClock
 from gingervane.node.telemetry import Telemetry
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,7 +20,8 @@
 from gingervane.coordinator.driver import Driver
 from gingervane.interface import Outcome, Semantics
 from gingervane.node import config as configuration
-from gingervane.node.links import FrameTravel, LinkLimits, Links, _Link
+from gingervane.node.link import FrameTravel, Link, LinkLimits
+from gingervane.node.links import Links
 from gingervane.node.service import CoreLog
 from gingervane.policy import Coordinator
 from gingervane.wire.frames import Asked
@@ -49,13 +50,13 @@
 @pytest.fixture
 def rising(monkeypatch: pytest.MonkeyPatch) -> Iterator[threading.Event]:
     """No connection to a replica comes up before this is set."""
-    up, came_up = threading.Event(), _Link._came_up
+    up, came_up = threading.Event(), Link._came_up
 
-    def held(self: _Link) -> None:
+    def held(self: Link) -> None:
         up.wait(PATIENCE)
         came_up(self)
 
-    monkeypatch.setattr(_Link, "_came_up", held)
+    monkeypatch.setattr(Link, "_came_up", held)
     yield up
     up.set()
 
@@ -72,13 +73,13 @@
 
 def stops_reading(patch: pytest.MonkeyPatch) -> Replica:
     """A replica that does not read yet, behind buffers so small that a long frame leaves in part."""
-    connect = _Link.connect
+    connect = Link.connect
 
-    def small(self: _Link) -> None:
+    def small(self: Link) -> None:
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         connect(self)
 
-    patch.setattr(_Link, "connect", small)
+    patch.setattr(Link, "connect", small)
     replica = Replica(0)
     replica._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     replica.reading.clear()
@@ -119,14 +120,14 @@
     replica, other, told = Replica(0), Replica(0), Waiter()
     idle = 0.0 if why == "idle for too long" else PATIENCE
     links = Links(LinkLimits(streams=4, links=1, idle=idle, connect=PATIENCE), told.put)
-    value, reads, go = _Link._value, threading.Event(), threading.Event()
+    value, reads, go = Link._value, threading.Event(), threading.Event()
 
-    def held(self: _Link, *args: Any) -> Any:
+    def held(self: Link, *args: Any) -> Any:
         reads.set()
         go.wait(PATIENCE)
         return value(self, *args)
 
-    monkeypatch.setattr(_Link, "_value", held)
+    monkeypatch.setattr(Link, "_value", held)
     send(links, replica, 1, "a.0")
     assert reads.wait(PATIENCE)
     (link,) = links._by_number.values()
@@ -170,11 +171,11 @@
     """The decision thread broke, and with it every query after."""
     platform = Platform(tmp_path, Replica(0))
 
-    def none_left(self: _Link, *args: object) -> None:
+    def none_left(self: Link, *args: object) -> None:
         raise OSError(24, "Too many open files")
 
     with monkeypatch.context() as patch:
-        patch.setattr(_Link, "__init__", none_left)
+        patch.setattr(Link, "__init__", none_left)
         assert platform.ask("q", {0: 1.0}, "/book", wait=500)[0] == 503
     assert platform.ask("after", {0: 1.0})[0] == 200
     platform.close()
@@ -184,14 +185,14 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Told as could-not-connect, which proves that it never ran: then it must not leave once that is up."""
-    late, came_up = list[_Link](), _Link._came_up
+    late, came_up = list[Link](), Link._came_up
 
-    def held(self: _Link) -> None:
+    def held(self: Link) -> None:
         late.extend([self] if not late else [])
         if self is not late[0] or self.broken:
             came_up(self)
 
-    monkeypatch.setattr(_Link, "_came_up", held)
+    monkeypatch.setattr(Link, "_came_up", held)
     platform = Platform(tmp_path, settings=with_limits(ConnectTimeoutS=0.1))
     assert platform.ask("q", {0: 1.0}, "/book")[0] == 200
     assert late[0].broken
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -25,7 +25,7 @@
 from gingervane.node.config import ConfigError, read
 from gingervane.node.discovery import ListReader, replica_id
 from gingervane.coordinator.starts import StartClock
-from gingervane.node.links import SPARE, Links
+from gingervane.node.links import Links, SPARE
 from gingervane.wire import frames
 from platform_standins import (
     PATIENCE,
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -31,7 +31,8 @@
 from gingervane.fronts.http_server import Exchange, Handler, HttpServer, Reply, ServerLimits, plain
 from gingervane.fronts.leaves import RemoteReadExchange
 from gingervane.interface import Outcome
-from gingervane.node.links import FrameTravel, LinkEnd, LinkEnded, LinkLimits, Links, _Link
+from gingervane.node.link import FrameTravel, Link, LinkEnd, LinkEnded, LinkLimits
+from gingervane.node.links import Links
 from gingervane.policy import Coordinator
 from gingervane.wire import local
 from gingervane.wire.frames import Asked
@@ -245,13 +246,13 @@
 def test_a_link_that_is_not_up_and_breaks_inside_has_proof_that_nothing_ran(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    def came_up(self: _Link) -> None:
+    def came_up(self: Link) -> None:
         raise ValueError("a bug")
 
     ended: list[LinkEnded] = []
     told = Waiter()
     there = Replica(0)
-    monkeypatch.setattr(_Link, "_came_up", came_up)
+    monkeypatch.setattr(Link, "_came_up", came_up)
     links = Links(LIMITS, reports_to(told), on_end=ended.append)
     assert links.start(a_call(there, "q", b"x"))
     assert told.wait()[0].outcome is Outcome.CONNECT_FAILED and ended[0].reason is LinkEnd.INTERNAL
