A first request on a new connection may have come during the hold before it was read

Cause: Standstill.came takes a request for no older than the end of the exchange before it; for a first request that was the moment its connection was taken, after the hold in which it had come. Change: for the first request of a connection nothing bounds it but the hold (Connection.replied).

--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -88,6 +88,7 @@
         self.sock, self.since, self.began = sock, now, now
         self.number = sock.fileno()
         self.kept: object = None  # what its worker keeps between requests
+        self.replied = -inf  # when the request before this one was done with; the first may lie there since ever
         self.waits_since = 0.0  # when a request began that no thread could be had for; 0: none waits
         self._phase, self._gone, self._until, self._drained = _Phase.RESTING, _nobody, inf, 0
 
@@ -450,7 +451,8 @@
     def _release(self, one: Connection, after: After) -> None:
         """Work on a connection is done."""
         with self._lock:
-            one._gone, one.since, one.waits_since = _nobody, time.monotonic(), 0.0
+            one._gone, one.waits_since = _nobody, 0.0
+            one.since = one.replied = time.monotonic()
             if after is After.GONE:
                 self.ends[ConnectionEnd.BROKEN.value] += 1
                 self._close(one)
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -176,7 +176,7 @@
         if not isinstance(one.kept, _Reading):
             timed = _Timed(one.sock)
             one.kept = _Reading(timed, http1.Reader(timed.receive, self._limits.message))
-        reading, began, replied = one.kept, one.began, one.since
+        reading, began, replied = one.kept, one.began, one.replied
         try:
             while (after := self._exchange(one, reading, began, replied)) is After.REST and reading.reader.waiting:
                 began = replied = time.monotonic()
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -161,6 +161,20 @@
         assert asked(server)[0] == 200
 
 
+def test_a_first_request_that_came_in_a_hold_has_been_waiting_since_it_began() -> None:
+    """Found by a rehearsal: it lay on a connection that nobody had taken, and passed for fresh: answered late."""
+    arrivals: list[float] = []
+
+    def handler(request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
+        arrivals.append(arrived)
+        return plain(200, "well")
+
+    for server in serve(handler):
+        start = time.monotonic() - 1.0
+        server._still.held(start, time.monotonic() + PATIENCE)
+        assert asked(server)[0] == 200 and arrivals == [start]
+
+
 # ---- system calls that fail
 
 
