--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 from typing import NamedTuple
 
@@ -9,10 +10,20 @@
 from _pytest.terminal import TerminalReporter
 from hypothesis import settings
 
+from platform_standins import Platform
+
 # The same verdict every time: fixed examples, no clock.
 settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=60, database=None)
 settings.load_profile("fixed")
 
+@pytest.fixture
+def platform(tmp_path: Path) -> Iterator[Platform]:
+    """A node in this process, two replicas that hold everything, and discovery."""
+    made = Platform(tmp_path)
+    yield made
+    made.close()
+
+
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 MOST_KNOWN = 3
 
--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -56,6 +56,14 @@
     sock.close()
 
 
+def close_all(listener: socket.socket, connections: list[socket.socket]) -> None:
+    """End a listener, whose thread waits in accept, and its connections, whose threads wait in recv."""
+    for sock in (listener, *connections):
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+        sock.close()
+
+
 class Proxy:
     """Carries the connections of one node to one replica."""
 
@@ -164,13 +172,7 @@
             )
 
     def close(self) -> None:
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        for sock in self._open:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-            sock.close()
+        close_all(self._listener, self._open)
 
 
 def _nothing(data: bytes) -> None:
--- a/tests/faults/replicas.py
+++ b/tests/faults/replicas.py
@@ -15,7 +15,7 @@
 
 from faults.ledger import Ledger
 from faults.plans import ReplicaFaults
-from faults.proxy import FrameTap, parse_call, reset
+from faults.proxy import FrameTap, close_all, parse_call, reset
 
 
 def cell_of(part: str) -> str:
@@ -140,13 +140,7 @@
         self._alarm.at(due, lambda: reset(sock) if kind == "closes" else _send(sock, data))
 
     def close(self) -> None:
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        for sock in self._open:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-            sock.close()
+        close_all(self._listener, self._open)
 
 
 def _send(sock: socket.socket, data: bytes) -> None:
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -29,6 +29,7 @@
 from faults.plans import Plan, draw
 from faults.proxy import Proxy, reset
 from faults.replicas import Alarm, Replica
+from platform_standins import Discovery
 
 ROOT = Path(__file__).parents[2]
 CLIENTS = 12  # of each node
@@ -52,46 +53,10 @@
     log: str = ""
 
 
-class Discovery:
-    """The list as one node gets it, with the proxies of that node."""
-
-    def __init__(self, hosts: list[dict[str, Any]]) -> None:
-        self.hosts = hosts
-        self._version, self._lock = 1, threading.Lock()
-        self._open: list[socket.socket] = []
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                sock, _ = self._listener.accept()
-                sock.recv(4096)
-                with self._lock, contextlib.suppress(OSError):
-                    sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                    self._push(sock, {"seq": self._version, "whole": True, "hosts": self.hosts})
-                    self._open.append(sock)
-
-    @staticmethod
-    def _push(sock: socket.socket, data: Any) -> None:
-        line = json.dumps(data).encode() + b"\n"
-        with contextlib.suppress(OSError):
-            sock.sendall(b"%x\r\n%s\r\n" % (len(line), line))
-
-    def change(self, replica: int, health: str) -> None:
-        with self._lock:
-            self._version += 1
-            host = self.hosts[replica] = self.hosts[replica] | {"health": health}
-            for sock in self._open:
-                self._push(sock, {"seq": self._version, "whole": False, "hosts": [host]})
-
-    def close(self) -> None:
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        for sock in self._open:
-            sock.close()
+def tell(discovery: Discovery, replica: int, health: str) -> None:
+    """A change of one node's list, which a watch that is opened later holds too."""
+    discovery.hosts[replica] = discovery.hosts[replica] | {"health": health}
+    discovery.change(discovery.hosts[replica])
 
 
 class Node:
@@ -298,7 +263,7 @@
             ledger.held.append((now, time.monotonic(), node.number))
         case "change":
             for each in nodes:
-                each.discovery.change(*data)
+                tell(each.discovery, *data)
             ledger.told.append((time.monotonic(), *data))
         case "terminate" | "kill":
             node = nodes[data]
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -7,14 +7,18 @@
 import json
 import socket
 import struct
+import subprocess
+import sys
 import threading
 from collections.abc import Callable
 from pathlib import Path
 from typing import IO, Any, NamedTuple
 
+from gingervane.fronts.connections import Connections
 from gingervane.node import config as configuration
 from gingervane.node.service import Node
 
+ROOT = Path(__file__).parents[1]
 PATIENCE = 20.0  # seconds after which a test gives up waiting
 
 
@@ -60,6 +64,14 @@
             return [item for item in self.items if which(item)]
 
 
+def start_node(config: Path) -> subprocess.Popen[str]:
+    """A node as a program of its own; its log is read from `stderr`."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "gingervane.node"], env={"NODE_CONFIG": str(config)}, cwd=ROOT, text=True,
+        stderr=subprocess.PIPE,
+    )
+
+
 class Recorded(Waiter):
     """A log that keeps its events: items are (event, fields)."""
 
@@ -325,6 +337,10 @@
             replica.close()
 
 
+def connections_of(platform: Platform) -> Connections:
+    return platform.node.server._connections
+
+
 def query(name: str, tablets: dict[int, float], path: str = "/look", wait: int = 6000) -> bytes:
     parts = [{"tablet": shard, "fraction": weight} for shard, weight in tablets.items()]
     return request(name, json.dumps({"tablets": parts, "statement": "c41e"}), path, wait)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -41,6 +41,7 @@
     reply,
     read_until,
     until,
+    connections_of,
 )
 
 
@@ -86,17 +87,6 @@
     held.let_go()
 
 
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[Platform]:
-    made = Platform(tmp_path)
-    yield made
-    made.close()
-
-
-def connections_of(platform: Platform) -> Connections:
-    return platform.node.server._connections
-
-
 def lies_unread(platform: Platform) -> bool:
     """Something lies unread on a connection at rest."""
     connections = connections_of(platform)
--- a/tests/test_incident_partial.py
+++ b/tests/test_incident_partial.py
@@ -11,7 +11,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import threading
 import time
 from pathlib import Path
@@ -27,7 +26,7 @@
 from gingervane.policy import Coordinator
 from hosts import BASE, query_class, replica
 from platform_standins import (
-    PATIENCE, SETTINGS, Discovery, Part, Replica, Wire, cell_of, host, query, read_until, reply,
+    PATIENCE, SETTINGS, Discovery, Part, Replica, Wire, cell_of, host, query, read_until, reply, start_node,
 )
 
 ROOT = Path(__file__).parents[1]
@@ -86,10 +85,7 @@
         "limits": {"sockets": 256}, "settings": settings(least, whole),
         "known": {"seq": 0, "whole": True, "hosts": [host(r) for r in replicas]},
     }))
-    node = subprocess.Popen(
-        [sys.executable, "-m", "gingervane.node"], env={"NODE_CONFIG": str(path)}, cwd=ROOT, text=True,
-        stderr=subprocess.PIPE,
-    )
+    node = start_node(path)
     assert node.stderr is not None
     where, port = read_until(node.stderr, "listens").split("address=")[1].split()[0].rsplit(":", 1)
     threading.Thread(target=node.stderr.read, daemon=True).start()  # so that its log is never full
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,7 +12,7 @@
 import threading
 import tomllib
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 from urllib.parse import quote
 
@@ -33,6 +33,7 @@
     Discovery,
     Recorded,
     read_until,
+    start_node,
     Part,
     Platform,
     Replica,
@@ -48,13 +49,6 @@
 ROOT = Path(__file__).parent.parent
 
 
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[Platform]:
-    made = Platform(tmp_path)
-    yield made
-    made.close()
-
-
 def tell(platform: Platform, *hosts: dict[str, object]) -> None:
     """Have discovery tell a change; back once it lies before whatever is asked next."""
     told, put = threading.Event(), platform.node.watch._tell
@@ -596,10 +590,7 @@
     with socket.create_server(("127.0.0.1", 0)) as free:
         port = free.getsockname()[1]
     platform.path.write_text(platform.path.read_text().replace('"127.0.0.1:0"', f'"127.0.0.1:{port}"'))
-    program = subprocess.Popen(
-        [sys.executable, "-m", "gingervane.node"], env={"NODE_CONFIG": str(platform.path)},
-        stderr=subprocess.PIPE, cwd=ROOT, text=True,
-    )
+    program = start_node(platform.path)
     assert program.stderr is not None
     read_until(program.stderr, "listens")
     with socket.create_connection(("127.0.0.1", port), PATIENCE) as sock:
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -6,8 +6,6 @@
 import os
 import re
 import signal
-import subprocess
-import sys
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -16,7 +14,7 @@
 from gingervane import interface as api
 from gingervane.node import telemetry as module
 from gingervane.node.telemetry import BURST, MOST_WAITING, Counters, Limiter, Telemetry
-from platform_standins import PATIENCE, Platform, Replica, read_until, until
+from platform_standins import PATIENCE, Platform, Replica, read_until, start_node, until
 
 ROOT = Path(__file__).parents[1]
 LINE = re.compile(
@@ -132,10 +130,7 @@
 def test_a_program_tells_its_settings_and_its_end(tmp_path: Path) -> None:
     """Found in the incident: no line said when, which settings held, or why a query ended as it did."""
     platform = Platform(tmp_path)
-    program = subprocess.Popen(
-        [sys.executable, "-m", "gingervane.node"], env={"NODE_CONFIG": str(platform.path)},
-        stderr=subprocess.PIPE, cwd=ROOT, text=True,
-    )
+    program = start_node(platform.path)
     assert program.stderr is not None
     said = read_until(program.stderr, "class_settings")
     assert "query_class=look semantics=safe" in said and "least_share=1 whole_share=1" in said
@@ -169,10 +164,7 @@
 
 def test_counters_are_written_on_a_signal(tmp_path: Path) -> None:
     platform = Platform(tmp_path)
-    program = subprocess.Popen(
-        [sys.executable, "-m", "gingervane.node"], env={"NODE_CONFIG": str(platform.path)},
-        stderr=subprocess.PIPE, cwd=ROOT, text=True,
-    )
+    program = start_node(platform.path)
     assert program.stderr is not None
     read_until(program.stderr, "listens")
     program.send_signal(signal.SIGUSR1)
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -27,7 +27,6 @@
 from gingervane.coordinator.driver import Driver
 from gingervane.coordinator.intents import Do, Intents, Limits, State
 from gingervane.fronts import connections as connections_module
-from gingervane.fronts.connections import Connections
 from gingervane.fronts.http_server import Exchange, Handler, HttpServer, Reply, ServerLimits, plain
 from gingervane.fronts.leaves import RemoteReadExchange
 from gingervane.interface import Outcome
@@ -38,7 +37,7 @@
 from gingervane.wire.frames import Asked
 from gingervane.wire.http1 import Request
 from hosts import BASE, query_class, replica
-from platform_standins import PATIENCE, Platform, Replica, Waiter, reply, request, until
+from platform_standins import PATIENCE, Platform, Replica, Waiter, connections_of, reply, request, until
 
 LIMITS = LinkLimits(streams=8, links=4, idle=PATIENCE, connect=PATIENCE)
 
@@ -162,7 +161,7 @@
 
 
 def test_a_first_request_that_came_in_a_hold_has_been_waiting_since_it_began() -> None:
-    """Found by a rehearsal: it lay on a connection that nobody had taken, and passed for fresh: answered late."""
+    """Found by a rehearsal: on a connection nobody had taken yet, it passed for fresh and was answered late."""
     arrivals: list[float] = []
 
     def handler(request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
@@ -297,17 +296,6 @@
     platform.close()
 
 
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[Platform]:
-    made = Platform(tmp_path)
-    yield made
-    made.close()
-
-
-def connections_of(platform: Platform) -> Connections:
-    return platform.node.server._connections
-
-
 @pytest.mark.parametrize("call", ["register", "modify", "poll"])
 def test_the_thread_that_takes_connections_outlives_a_failing_epoll(platform: Platform, call: str) -> None:
     """A request on a connection that could not be registered waits for a moment, and is served."""
