--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -161,7 +161,7 @@
 
 
 def test_a_first_request_that_came_in_a_hold_has_been_waiting_since_it_began() -> None:
-    """Found by a rehearsal: on a connection nobody had taken yet, it passed for fresh and was answered late."""
+    """Found by a rehearsal: on a connection not yet taken, it passed for fresh and was answered late."""
     arrivals: list[float] = []
 
     def handler(request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
