--- a/benchmarks/cold_sum.py
+++ b/benchmarks/cold_sum.py
@@ -27,7 +27,12 @@
 from gingervane import interface as api
 from gingervane.policy import Coordinator
 
-TOOK, CAPACITY, LOAD, PARTS = 0.1, 10.0, 0.6, 4  # seconds; parts a second of a ready replica; of capacity; of a query
+TOOK, CAPACITY, LOAD, PARTS = (
+    0.1,
+    10.0,
+    0.6,
+    4,
+)  # seconds; parts a second of a ready replica; of capacity; of a query
 WARM, MOST_AGAIN = 12.0, 3  # seconds before the starts; times that a client comes again
 
 
@@ -80,11 +85,28 @@
         self.count, self.servers = coordinators, max(12, min(coordinators, 100))
         kind = api.QueryClass(1.0, 3.0, api.Semantics.SAFE, None, 0, 1.0, 1.0, None, 0.0, 1.0)
         self.settings = api.Settings(
-            coordinators=coordinators, zone=0, classes=(kind,), tenant_quotas=(), granularity=0.005,
-            cells=self.servers, width=3, parts_per_call=1, most_attempts=3, may_cancel=rules.cancel,
-            may_message_peers=False, may_copy=rules.copies, may_advise_wait=True, longest_wait_advice=0.5,
-            must_ask_membership=False, start_capacity=rules.start, ramp_time=rules.ramp, fall_time=rules.fall,
-            fall_multiple=rules.multiple, budget_free=None, budget_share=None, budget_span=None,
+            coordinators=coordinators,
+            zone=0,
+            classes=(kind,),
+            tenant_quotas=(),
+            granularity=0.005,
+            cells=self.servers,
+            width=3,
+            parts_per_call=1,
+            most_attempts=3,
+            may_cancel=rules.cancel,
+            may_message_peers=False,
+            may_copy=rules.copies,
+            may_advise_wait=True,
+            longest_wait_advice=0.5,
+            must_ask_membership=False,
+            start_capacity=rules.start,
+            ramp_time=rules.ramp,
+            fall_time=rules.fall,
+            fall_multiple=rules.multiple,
+            budget_free=None,
+            budget_share=None,
+            budget_span=None,
         )
         self.born = 100.0 + WARM
         cold = round(scenario.cold * self.servers)
@@ -98,9 +120,7 @@
         self.again: dict[tuple[int, int], int] = {}  # queries -> how often their clients came
 
     def rows(self, state: Callable[[int], float]) -> tuple[api.Replica, ...]:
-        return tuple(
-            api.Replica(n, n, 0, 1.0, api.ReplicaState.READY, state(n)) for n in range(self.servers)
-        )
+        return tuple(api.Replica(n, n, 0, 1.0, api.ReplicaState.READY, state(n)) for n in range(self.servers))
 
     def at(self, when: float, what: Callable[[float], None]) -> None:
         heapq.heappush(self.queue, (when, next(self.order), what))
@@ -150,7 +170,8 @@
         self.again[who, query] = times
         arrived = api.QueryArrived(query, query, 0, 0, PARTS, now + 3.0, times > 0, 0.0)
         parts = [
-            api.PartArrived(next(self.ids), query, (shard + 3 * i) % self.servers, 1 / PARTS) for i in range(PARTS)
+            api.PartArrived(next(self.ids), query, (shard + 3 * i) % self.servers, 1 / PARTS)
+            for i in range(PARTS)
         ]
         self.feed(who, now, arrived, *parts)
 
--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -28,23 +28,35 @@
 def machine() -> str:
     """The machine's size, for the head of a table of figures."""
     memory = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES") / (1 << 30)
-    return f"{os.cpu_count()} cores, {memory:.0f} GiB, {platform.machine()}, CPython {platform.python_version()}"
+    return (
+        f"{os.cpu_count()} cores, {memory:.0f} GiB, {platform.machine()}, CPython {platform.python_version()}"
+    )
 
 
 class Fleet:
     """Stand-in nodes in processes of their own (a few nodes each) and one co-ordinator in another."""
 
     def __init__(
-        self, nodes: int = 12, tiles: int = 24, model: Model | None = None,
+        self,
+        nodes: int = 12,
+        tiles: int = 24,
+        model: Model | None = None,
         faults: dict[int, list[Any]] | None = None,
-        table: dict[str, Any] | None = None, prefix: list[str] | None = None,
+        table: dict[str, Any] | None = None,
+        prefix: list[str] | None = None,
     ) -> None:
         self.model = model or Model()
         self.folder = Path(tempfile.mkdtemp(prefix="gingervane-bench-"))
         self.tiles, self.nodes = [f"t{i:03d}" for i in range(tiles)], nodes
         orders = {
-            "records": str(self.folder / "nodes.jsonl"), "nodes": nodes, "tiles": tiles, "zones": ZONES, "width": 3,
-            "model": list(self.model), "faults": faults or {}, "silent": True,
+            "records": str(self.folder / "nodes.jsonl"),
+            "nodes": nodes,
+            "tiles": tiles,
+            "zones": ZONES,
+            "width": 3,
+            "model": list(self.model),
+            "faults": faults or {},
+            "silent": True,
         }
         self.standins: list[subprocess.Popen[str]] = []
         self.ports = [0] * nodes
@@ -53,15 +65,20 @@
             only = list(range(first, nodes, PROCESSES))
             path.write_text(json.dumps(orders | {"only": only}))
             child = subprocess.Popen(
-                [sys.executable, "-m", "gingervane.standins.fleet", str(path)], stdin=subprocess.PIPE,
-                stdout=subprocess.PIPE, text=True,
+                [sys.executable, "-m", "gingervane.standins.fleet", str(path)],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                text=True,
             )
             assert child.stdout
-            for node, port in zip(only, json.loads(child.stdout.readline().removeprefix("ready")), strict=True):
+            for node, port in zip(
+                only, json.loads(child.stdout.readline().removeprefix("ready")), strict=True
+            ):
                 self.ports[node] = port
             self.standins.append(child)
         rows = [
-            list_row(n, f"127.0.0.1:{port}", ZONES[n % 3], n, "ready", None) for n, port in enumerate(self.ports)
+            list_row(n, f"127.0.0.1:{port}", ZONES[n % 3], n, "ready", None)
+            for n, port in enumerate(self.ports)
         ]
         write_list(self.folder / "servers.toml", "\n".join(rows))
         settings: dict[str, Any] = {
@@ -73,10 +90,19 @@
         }
         config = self.folder / "c.toml"
         config.write_text(toml(settings | (table or {})))
-        command = [*(prefix or [sys.executable]), "-m", "gingervane.cli.main", "serve", "--config", str(config)]
+        command = [
+            *(prefix or [sys.executable]),
+            "-m",
+            "gingervane.cli.main",
+            "serve",
+            "--config",
+            str(config),
+        ]
         self.coordinator = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
         assert self.coordinator.stdout
-        host, _, port = self.coordinator.stdout.readline().removeprefix("listening on ").strip().rpartition(":")
+        host, _, port = (
+            self.coordinator.stdout.readline().removeprefix("listening on ").strip().rpartition(":")
+        )
         self.address = host, int(port)
 
     def __enter__(self) -> Fleet:
--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -28,7 +28,9 @@
 
 
 def quantiles(histogram: HdrHistogram) -> str:
-    return ", ".join(f"p{q:g} {histogram.get_value_at_percentile(q) / 1000:.2f}" for q in (50, 90, 99)) + " ms"
+    return (
+        ", ".join(f"p{q:g} {histogram.get_value_at_percentile(q) / 1000:.2f}" for q in (50, 90, 99)) + " ms"
+    )
 
 
 def added() -> None:
@@ -56,16 +58,26 @@
         for name, histogram in found.items():
             print(f"{name:8} {histogram.get_total_count():5} queries: {quantiles(histogram)}")
         through_us, direct_us = found["through"], found["direct"]
-        extra = [through_us.get_value_at_percentile(q) - direct_us.get_value_at_percentile(q) for q in (50, 99)]
-        print(f"added: {extra[0] / 1000:.2f} ms at the median, {extra[1] / 1000:.2f} ms at p99; errors {errors}")
+        extra = [
+            through_us.get_value_at_percentile(q) - direct_us.get_value_at_percentile(q) for q in (50, 99)
+        ]
+        print(
+            f"added: {extra[0] / 1000:.2f} ms at the median, {extra[1] / 1000:.2f} ms at p99; errors {errors}"
+        )
 
 
 def copies(on: bool) -> None:
     """One of twelve nodes ten times slower; with copies off the same module is not allowed to send any."""
-    patch = "" if on else "from gingervane.daemon.settings import Config as C; f = C.module_settings; " \
+    patch = (
+        ""
+        if on
+        else "from gingervane.daemon.settings import Config as C; f = C.module_settings; "
         "C.module_settings = lambda s: f(s)._replace(may_copy=False); "
+    )
     code = patch + "import sys; sys.argv = sys.argv[2:]; from gingervane.cli.main import main; main()"
-    slow = {3: [{"kind": "slow", "start": time.monotonic() + 8, "seconds": 600.0, "size": 10.0, "how": "crash"}]}
+    slow = {
+        3: [{"kind": "slow", "start": time.monotonic() + 8, "seconds": 600.0, "size": 10.0, "how": "crash"}]
+    }
     with Fleet(model=MODEL, faults=slow, prefix=[sys.executable, "-c", code]) as fleet:
         client = Client(fleet.address)
         began, late = time.monotonic(), HdrHistogram(1, 60_000_000, 3)
@@ -73,8 +85,14 @@
 
         def work(index: int) -> None:
             tiles = [f"t{(index * 7 + i) % 24:03d}" for i in range(3)]
-            asked = Query(END - 300_000, END, (
-                Matcher(Match.EQUAL, "__name__", "wind_speed"), Matcher(Match.REGEX, "tile", "|".join(tiles))))
+            asked = Query(
+                END - 300_000,
+                END,
+                (
+                    Matcher(Match.EQUAL, "__name__", "wind_speed"),
+                    Matcher(Match.REGEX, "tile", "|".join(tiles)),
+                ),
+            )
             start = time.monotonic()
             assert client.exchange(client.request([asked], {}), 10.0)[0] == 200
             if start - began > 9:  # the slow node has been slow for a second
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,8 +1,8 @@
 """Membership from Consul: news, calls, restarts, and the cost of a large list.
 
-    python benchmarks/membership.py news [12 54]  # from a change to each co-ordinator's module event; calls counted
-    python benchmarks/membership.py restart       # a co-ordinator's start to its first good answer
-    python benchmarks/membership.py cost          # of a view of 1,000 nodes that changes
+python benchmarks/membership.py news [12 54]  # from a change to each co-ordinator's module event; calls counted
+python benchmarks/membership.py restart       # a co-ordinator's start to its first good answer
+python benchmarks/membership.py cost          # of a view of 1,000 nodes that changes
 """
 
 from __future__ import annotations
@@ -41,7 +41,9 @@
 
 
 def row(number: int, state: str = "ready", port: int = 0) -> Row:
-    return Row(number, f"n{number}", ("127.0.0.1", port or 9000 + number), ZONES[number % 3], number, state, 1.0)
+    return Row(
+        number, f"n{number}", ("127.0.0.1", port or 9000 + number), ZONES[number % 3], number, state, 1.0
+    )
 
 
 class StandIn:
@@ -52,7 +54,9 @@
         (folder / "orders.json").write_text(json.dumps({"agents": agents + 1}))
         self.child = subprocess.Popen(
             [sys.executable, "-m", "gingervane.standins.consul", str(folder / "orders.json")],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
         )
         assert self.child.stdout
         ports = json.loads(self.child.stdout.readline().removeprefix("ready"))
@@ -91,7 +95,11 @@
         place = ConsulPlace(tuple((host, port) for host, port in agents), "grid", pause=Pause())
 
         def report(
-            members: tuple[Member, ...], age: float, index: int, sure: bool, to: Sources = sources,
+            members: tuple[Member, ...],
+            age: float,
+            index: int,
+            sure: bool,
+            to: Sources = sources,
         ) -> None:
             to.report("consul", members, age, index, sure)
 
@@ -127,7 +135,9 @@
         own = count // WORKERS + (index < count % WORKERS)
         child = subprocess.Popen(
             [sys.executable, __file__, "worker", json.dumps(stand_in.agents), str(own)],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
         )
         assert child.stdout and child.stdout.readline().strip() == "ready"
         threading.Thread(target=read, args=(child, base), daemon=True).start()
@@ -170,8 +180,11 @@
         told_of = f"{len(took)} of {(last - first) * count} told"
         print(f"  {what}: {told_of}; p50 {p50:.1f} ms, p99 {p99:.1f}, max {most:.1f}")
     for what, start, stop in (
-        ("idle", idle, spaced), ("one change at a time", spaced, churn), ("ten changes a second", churn, churn + 10),
-        ("outage, all calls refused", outage, back), ("the 20 s after it", back, end),
+        ("idle", idle, spaced),
+        ("one change at a time", spaced, churn),
+        ("ten changes a second", churn, churn + 10),
+        ("outage, all calls refused", outage, back),
+        ("the 20 s after it", back, end),
     ):
         print(f"  calls, {what}: {busiest(calls, start, stop)}")
 
@@ -185,17 +198,23 @@
         agents = [f"{host}:{port}" for host, port in stand_in.agents]
 
         def start(kept: bool) -> str:
-            membership = {"consul": {"agents": agents, "service": "grid"}} | ({"kept": "kept"} if kept else {})
+            membership = {"consul": {"agents": agents, "service": "grid"}} | (
+                {"kept": "kept"} if kept else {}
+            )
             table = {
-                "shards": {"names": fleet.tiles, "cells": 12, "width": 3}, "membership": membership,
-                "fleet": {"zones": list(ZONES), "zone": "hall-a"}, "log": {"level": "error"},
+                "shards": {"names": fleet.tiles, "cells": 12, "width": 3},
+                "membership": membership,
+                "fleet": {"zones": list(ZONES), "zone": "hall-a"},
+                "log": {"level": "error"},
                 "class": [{"name": "look", "aim": 2.0, "deadline": 10.0}],
             }
             (folder / "c.toml").write_text(toml(table))
             began = time.monotonic()
             child = subprocess.Popen(
                 [sys.executable, "-m", "gingervane.cli.main", "serve", "--config", str(folder / "c.toml")],
-                stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.DEVNULL,
+                text=True,
             )
             assert child.stdout
             host, _, port = child.stdout.readline().removeprefix("listening on ").strip().rpartition(":")
@@ -232,10 +251,15 @@
 
     catalogue = Catalogue()
     for n in range(count):
-        catalogue.register({
-            "ID": f"n{n}", "Name": "grid", "Port": 9000, "Address": "127.0.0.1",
-            "Meta": {"zone": ZONES[n % 3], "cell": str(n), "gingervane-id": str(n), "started": "1.0"},
-        })
+        catalogue.register(
+            {
+                "ID": f"n{n}",
+                "Name": "grid",
+                "Port": 9000,
+                "Address": "127.0.0.1",
+                "Meta": {"zone": ZONES[n % 3], "cell": str(n), "gingervane-id": str(n), "started": "1.0"},
+            }
+        )
         catalogue.check(f"n{n}", f"service:n{n}", "passing")
     rng = random.Random(1)
     bodies = []
@@ -280,9 +304,12 @@
     held, width = module.held_by, settings.width
     for cell in range(count):
         timed("holders of a tile, by index", lambda c=cell: held[c])  # type: ignore[misc]
-        timed("holders of a tile, by scan", lambda c=cell: [  # type: ignore[misc]
-            s for s in servers if (s.listed.cell - c) % count < width
-        ])
+        timed(
+            "holders of a tile, by scan",
+            lambda c=cell: [  # type: ignore[misc]
+                s for s in servers if (s.listed.cell - c) % count < width
+            ],
+        )
     print(f"{len(bodies[0]) / 1024:.0f} KiB, {count} nodes, 3 changes a list")
     for what, found in times.items():
         print(f"  {what}: {np.median(found):.4f} ms")
@@ -295,14 +322,40 @@
 
 def module_settings(count: int) -> api.Settings:
     look = api.QueryClass(
-        aim=1.5, deadline=5.0, semantics=api.Semantics.SAFE, repeat_window=None, second_step_parts=0,
-        least_share=1.0, whole_share=1.0, aim_stretch=None, late_worth=0.0, short_worth=1.0,
+        aim=1.5,
+        deadline=5.0,
+        semantics=api.Semantics.SAFE,
+        repeat_window=None,
+        second_step_parts=0,
+        least_share=1.0,
+        whole_share=1.0,
+        aim_stretch=None,
+        late_worth=0.0,
+        short_worth=1.0,
     )
     return api.Settings(
-        coordinators=1, zone=0, classes=(look,), tenant_quotas=(), granularity=0.005, cells=count, width=3,
-        parts_per_call=8, most_attempts=3, may_cancel=True, may_message_peers=False, may_copy=True,
-        may_advise_wait=True, longest_wait_advice=1.0, must_ask_membership=False, start_capacity=0.2,
-        ramp_time=15.0, fall_time=2.0, fall_multiple=4.0, budget_free=None, budget_share=None, budget_span=None,
+        coordinators=1,
+        zone=0,
+        classes=(look,),
+        tenant_quotas=(),
+        granularity=0.005,
+        cells=count,
+        width=3,
+        parts_per_call=8,
+        most_attempts=3,
+        may_cancel=True,
+        may_message_peers=False,
+        may_copy=True,
+        may_advise_wait=True,
+        longest_wait_advice=1.0,
+        must_ask_membership=False,
+        start_capacity=0.2,
+        ramp_time=15.0,
+        fall_time=2.0,
+        fall_multiple=4.0,
+        budget_free=None,
+        budget_share=None,
+        budget_span=None,
     )
 
 
--- a/benchmarks/restart.py
+++ b/benchmarks/restart.py
@@ -24,15 +24,31 @@
 ROOT = Path(__file__).parent.parent
 REPLICAS = 100
 SETTINGS: dict[str, Any] = {
-    "Locality": 0, "GranularityS": 0.005, "MembershipMode": "ask", "Zones": ["a", "b"],
+    "Locality": 0,
+    "GranularityS": 0.005,
+    "MembershipMode": "ask",
+    "Zones": ["a", "b"],
     "Classes": [{"Name": "look", "AimS": 1.0, "DeadlineS": 2.5, "Semantics": "safe", "LateWorth": 0.0}],
     "Extra": {
-        "ClassFetch": [0], "MinShare": [1.0], "WholeAt": [1.0], "ShortWorth": [1.0], "PerCall": 4, "Sets": 20,
-        "Shards": 80, "Width": 3,
+        "ClassFetch": [0],
+        "MinShare": [1.0],
+        "WholeAt": [1.0],
+        "ShortWorth": [1.0],
+        "PerCall": 4,
+        "Sets": 20,
+        "Shards": 80,
+        "Width": 3,
     },
     "Limits": {
-        "Cancelling": True, "ConnIdleS": 15.0, "ConnectTimeoutS": 0.25, "MaxRetryAfterS": 0.5, "Peers": False,
-        "RetryAfter": True, "SecondCopies": True, "SendCap": 3, "StreamsPerConn": 32,
+        "Cancelling": True,
+        "ConnIdleS": 15.0,
+        "ConnectTimeoutS": 0.25,
+        "MaxRetryAfterS": 0.5,
+        "Peers": False,
+        "RetryAfter": True,
+        "SecondCopies": True,
+        "SendCap": 3,
+        "StreamsPerConn": 32,
     },
     "Rules": {"RampTimeS": 10.0, "StartCapacity": 0.3, "FallS": 1.0, "TipMultiple": 2.5},
 }
@@ -41,8 +57,17 @@
 def discover(listener: socket.socket) -> None:
     """Answer each call with the list and keep its watch open."""
     hosts = [
-        {"host": f"s-{n}", "dial": f"127.0.0.1:{1024 + n}", "site": "ab"[n % 2], "class": "m", "block": n % 20,
-         "health": "SERVING", "share": 1.0, "born_ms": 0} for n in range(REPLICAS)
+        {
+            "host": f"s-{n}",
+            "dial": f"127.0.0.1:{1024 + n}",
+            "site": "ab"[n % 2],
+            "class": "m",
+            "block": n % 20,
+            "health": "SERVING",
+            "share": 1.0,
+            "born_ms": 0,
+        }
+        for n in range(REPLICAS)
     ]
     line = json.dumps({"seq": 7, "whole": True, "hosts": hosts}).encode() + b"\n"
     kept = []
@@ -80,15 +105,27 @@
     began = time.monotonic()
     for number, port in enumerate(ports):
         path = folder / f"{number}.json"
-        path.write_text(json.dumps({
-            "name": f"n{number}", "listen": f"127.0.0.1:{port}", "discovery": f"{where[0]}:{where[1]}", "seed": "5",
-            "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 512},
-            "settings": SETTINGS | {"Balancers": nodes, "Ordinal": number},
-        }))
-        programs.append(subprocess.Popen(
-            [sys.executable, "-m", "gingervane.node"], env={"NODE_CONFIG": str(path)}, cwd=ROOT,
-            stderr=subprocess.DEVNULL, preexec_fn=lambda: os.sched_setaffinity(0, some),
-        ))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": f"n{number}",
+                    "listen": f"127.0.0.1:{port}",
+                    "discovery": f"{where[0]}:{where[1]}",
+                    "seed": "5",
+                    "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 512},
+                    "settings": SETTINGS | {"Balancers": nodes, "Ordinal": number},
+                }
+            )
+        )
+        programs.append(
+            subprocess.Popen(
+                [sys.executable, "-m", "gingervane.node"],
+                env={"NODE_CONFIG": str(path)},
+                cwd=ROOT,
+                stderr=subprocess.DEVNULL,
+                preexec_fn=lambda: os.sched_setaffinity(0, some),
+            )
+        )
     figures: dict[int, float] = {}
     while len(figures) < nodes and time.monotonic() < began + 60.0:
         for number, port in enumerate(ports):
--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -24,9 +24,14 @@
 
 def load(address: tuple[str, int], tiles: int, clients: int, seconds: float, out: Any) -> None:
     pattern = "|".join(f"t{i:03d}" for i in range(tiles))
-    query = Query(END - 300_000, END, (
-        Matcher(Match.EQUAL, "__name__", "wind_speed"), Matcher(Match.REGEX, "tile", pattern),
-    ))
+    query = Query(
+        END - 300_000,
+        END,
+        (
+            Matcher(Match.EQUAL, "__name__", "wind_speed"),
+            Matcher(Match.REGEX, "tile", pattern),
+        ),
+    )
     client = Client(address)
     data = client.request([query], {})
 
--- a/benchmarks/timers.py
+++ b/benchmarks/timers.py
@@ -32,4 +32,6 @@
     for rate in (500.0, 2000.0, 10000.0):
         for name, timers in (("heap", HeapTimers()), ("wheel", WheelTimers(0.005))):
             each, wakes = play(timers, 100_000, rate)
-            print(f"{rate:6.0f} parts/s  {name:5}  {each * 1e6:5.2f} us a part, {wakes / 100_000:.3f} wakes a part")
+            print(
+                f"{rate:6.0f} parts/s  {name:5}  {each * 1e6:5.2f} us a part, {wakes / 100_000:.3f} wakes a part"
+            )
--- a/benchmarks/vectors.py
+++ b/benchmarks/vectors.py
@@ -1,6 +1,6 @@
 """The vector front, measured: against asking a node directly, merging, the intent log, JSON.
 
-    python benchmarks/vectors.py [merge] [log] [serve]
+python benchmarks/vectors.py [merge] [log] [serve]
 """
 
 from __future__ import annotations
@@ -43,16 +43,18 @@
             lists: list[list[dict[str, Any]]] = []
             for shard in range(shards):
                 scores = np.sort(rng.normal(size=k))[::-1]
-                lists.append([
-                    {"id": shard * k + i, "version": 1, "score": float(s)} for i, s in enumerate(scores)
-                ])
+                lists.append(
+                    [{"id": shard * k + i, "version": 1, "score": float(s)} for i, s in enumerate(scores)]
+                )
             built, plain = [], []
             for _ in range(5):
                 began = time.perf_counter()
                 found = merge(lists, 0, k, True)
                 built.append(time.perf_counter() - began)
                 began = time.perf_counter()
-                best = sorted((p for one in lists for p in one), key=lambda p: (-p["score"], order_of(p["id"])))[:k]
+                best = sorted(
+                    (p for one in lists for p in one), key=lambda p: (-p["score"], order_of(p["id"]))
+                )[:k]
                 plain.append(time.perf_counter() - began)
                 assert found == best
             print(f"  {k}, {shards}: {np.median(built) * 1000:.2f}, {np.median(plain) * 1000:.2f}")
@@ -76,7 +78,9 @@
     read = time.perf_counter() - began
     recovered(intents, found.entries, Clock(1))
     took = time.perf_counter() - began
-    print(f"intent log, {found.records} entries, {size / 1e6:.0f} MB: read in {read:.2f} s, taken up in {took:.2f} s")
+    print(
+        f"intent log, {found.records} entries, {size / 1e6:.0f} MB: read in {read:.2f} s, taken up in {took:.2f} s"
+    )
     for writers in (1, 16, 64):
         done = [0]
         stop = time.monotonic() + 3.0
@@ -105,13 +109,24 @@
     children, ports = [], []
     for number in range(nodes):  # a process each, so that they are not what is measured
         path = folder / f"orders-{number}.json"
-        path.write_text(json.dumps({
-            "nodes": nodes, "collections": [["c", dims, "Cosine"]], "width": 3, "window": 10.0, "faults": {},
-            "model": list(model), "only": [number],
-        }))
+        path.write_text(
+            json.dumps(
+                {
+                    "nodes": nodes,
+                    "collections": [["c", dims, "Cosine"]],
+                    "width": 3,
+                    "window": 10.0,
+                    "faults": {},
+                    "model": list(model),
+                    "only": [number],
+                }
+            )
+        )
         child = subprocess.Popen(
             [sys.executable, "-m", "gingervane.standins.vectors", str(path)],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
         )
         assert child.stdout
         ports += json.loads(child.stdout.readline().removeprefix("ready"))
@@ -122,12 +137,17 @@
     times = {"aim": 1.0, "deadline": 5.0}
     table: dict[str, Any] = {
         "class": [
-            {"name": "look", **times}, {"name": "up", **times, "semantics": "keyed", "repeat_window": 10.0},
+            {"name": "look", **times},
+            {"name": "up", **times, "semantics": "keyed", "repeat_window": 10.0},
             {"name": "add", **times, "semantics": "unsafe"},
         ],
         "vectors": {
-            "membership": {"file": str(folder / "vectors.toml")}, "cells": nodes, "search_class": "look",
-            "upsert_class": "up", "add_class": "add", "collection": [{"name": "c", "dims": dims}],
+            "membership": {"file": str(folder / "vectors.toml")},
+            "cells": nodes,
+            "search_class": "look",
+            "upsert_class": "up",
+            "add_class": "add",
+            "collection": [{"name": "c", "dims": dims}],
             "intents": str(folder / "intents"),
         },
     }
@@ -135,8 +155,13 @@
 
     def call(address: tuple[str, int], method: str, path: str, content: Any) -> Any:
         body = orjson.dumps(content)
-        data = http1.head(f"{method} /collections/c/{path} HTTP/1.1", [
-            ("Host", "x"), ("Content-Length", str(len(body)))]) + body
+        data = (
+            http1.head(
+                f"{method} /collections/c/{path} HTTP/1.1",
+                [("Host", "x"), ("Content-Length", str(len(body)))],
+            )
+            + body
+        )
         status, _, reply = exchange(pool, address, data, time.monotonic() + 20.0)
         if status != 200:
             raise OSError(f"{status}: {reply[:200]!r}")
@@ -163,8 +188,15 @@
         one = {"vector": wanted, "limit": 10}
         for clients in (1, 8, 32):
             for what, work in (
-                ("one shard of one node", lambda: call(
-                    direct, "POST", "points/search/batch", {"searches": [{**one, "shard_key": f"s{shard}"}]})),
+                (
+                    "one shard of one node",
+                    lambda: call(
+                        direct,
+                        "POST",
+                        "points/search/batch",
+                        {"searches": [{**one, "shard_key": f"s{shard}"}]},
+                    ),
+                ),
                 ("search of all shards", lambda: call(fleet.address, "POST", "points/search", one)),
             ):
                 count, histogram, errors = closed_loop(clients, 4.0, lambda index, w=work: w())  # type: ignore[misc]
@@ -203,11 +235,20 @@
         assert child.stdin
         child.stdin.close()
         child.wait(20)
-    reply = orjson.dumps({"result": [[
-        {"id": n, "version": 1, "score": 0.5, "payload": {"name": f"point {n}", "n": n}} for n in range(100)
-    ] for _ in range(6)]})
+    reply = orjson.dumps(
+        {
+            "result": [
+                [
+                    {"id": n, "version": 1, "score": 0.5, "payload": {"name": f"point {n}", "n": n}}
+                    for n in range(100)
+                ]
+                for _ in range(6)
+            ]
+        }
+    )
     works: dict[str, Callable[[], Any]] = {
-        "json": lambda: json.dumps(json.loads(reply)), "orjson": lambda: orjson.dumps(orjson.loads(reply)),
+        "json": lambda: json.dumps(json.loads(reply)),
+        "orjson": lambda: orjson.dumps(orjson.loads(reply)),
     }
     for name, both_ways in works.items():
         began = time.perf_counter()
--- a/gingervane/audit/effects.py
+++ b/gingervane/audit/effects.py
@@ -54,15 +54,19 @@
     final = next((r for r in director if r["kind"] == "vector_marks"), None)
     killed = [(r["coordinator"], r["t"]) for r in director if r["kind"] == "killed"]
     rules = {
-        "answered": _answered(tries, killed), "unsafe once": _unsafe(effects),
-        "keyed once": _keyed(effects), "refused is idle": _refused(tries, effects),
-        "acknowledged is there": _present(day, tries, final), "whole is exact": _exact(day, tries),
+        "answered": _answered(tries, killed),
+        "unsafe once": _unsafe(effects),
+        "keyed once": _keyed(effects),
+        "refused is idle": _refused(tries, effects),
+        "acknowledged is there": _present(day, tries, final),
+        "whole is exact": _exact(day, tries),
     }
     outcomes = Counter((r["kind_of"], r["status"]) for r in tries)
     return {
         "kept": all(not f.breaches for f in rules.values()),
         "rules": {name: vars(finding) for name, finding in rules.items()},
-        "tries": len(tries), "effects": sum(not e["repeat"] for e in effects),
+        "tries": len(tries),
+        "effects": sum(not e["repeat"] for e in effects),
         "repeats": sum(e["repeat"] for e in effects),
         "outcomes": {f"{kind} {status}": n for (kind, status), n in sorted(outcomes.items())},
         "settled": bool(final and final["settled"]),
@@ -81,7 +85,9 @@
             continue
         refused = not r["status"] and "refused" in r["why"]  # a connection to one that is not up
         if not refused:
-            finding.check(r["status"] > 0 and r["ended"] - r["sent"] <= r["timeout"] + 0.1, f"{_name(r)}: {r['why']}")
+            finding.check(
+                r["status"] > 0 and r["ended"] - r["sent"] <= r["timeout"] + 0.1, f"{_name(r)}: {r['why']}"
+            )
     return finding
 
 
--- a/gingervane/audit/records.py
+++ b/gingervane/audit/records.py
@@ -51,7 +51,9 @@
     near: int
     far: int
     parts: tuple[Part, ...]
-    read: float  # when the child had read it, and the child's tap; the time of sending and none if it never did
+    read: (
+        float  # when the child had read it, and the child's tap; the time of sending and none if it never did
+    )
     child: str
 
 
@@ -141,7 +143,9 @@
     torn += more
     vector_ports: list[int] = next((r["ports"] for r in director if r["kind"] == "vector_ports"), [])
     agent_ports: list[int] = next((r["ports"] for r in director if r["kind"] == "agents"), [])
-    heard_of: dict[tuple[int, int], str] = {}  # an agent and the port of a co-ordinator's connection to it: its tap
+    heard_of: dict[
+        tuple[int, int], str
+    ] = {}  # an agent and the port of a co-ordinator's connection to it: its tap
     node_of = {port: n for r in director if r["kind"] == "ports" for n, port in enumerate(r["ports"])}
     sends: list[Send] = []
     branches: list[Branch] = []
@@ -164,15 +168,25 @@
                 continue
             parts = asked(base64.b64decode(r["data"]))
             if r["far"] in node_of:
-                sends.append(Send(r["t"], launch["coordinator"], launch["tap"], node_of[r["far"]], r["near"], parts))
+                sends.append(
+                    Send(r["t"], launch["coordinator"], launch["tap"], node_of[r["far"]], r["near"], parts)
+                )
             else:
                 branches.append(Branch(r["t"], launch["tap"], r["near"], r["far"], tuple(parts), r["t"], ""))
     sends.sort(key=lambda s: s.t)
     body = folder / "bodies.bin"
     day = Day(
-        facts, director, [r for r in clients if r["kind"] == "try"], [r for r in clients if r["kind"] == "demand"],
-        nodes, sends, body.read_bytes() if body.exists() else b"", _link_branches(branches, heard, director),
-        exchanged, _catalogue(folder, heard_of) if agent_ports else None, torn,
+        facts,
+        director,
+        [r for r in clients if r["kind"] == "try"],
+        [r for r in clients if r["kind"] == "demand"],
+        nodes,
+        sends,
+        body.read_bytes() if body.exists() else b"",
+        _link_branches(branches, heard, director),
+        exchanged,
+        _catalogue(folder, heard_of) if agent_ports else None,
+        torn,
     )
     _link_nodes(day)
     _link_replies(day, heard)
@@ -196,7 +210,9 @@
 
 
 def _link_branches(
-    branches: list[Branch], heard: dict[str, list[Record]], director: list[Record],
+    branches: list[Branch],
+    heard: dict[str, list[Record]],
+    director: list[Record],
 ) -> list[Branch]:
     """Each subtree with the moment at which the child had read it: the first request on that connection after it."""
     taps: dict[int, list[str]] = defaultdict(list)
--- a/gingervane/audit/rules.py
+++ b/gingervane/audit/rules.py
@@ -60,8 +60,12 @@
 def judge_day(day: Day, samples: bool = True) -> dict[str, Any]:
     """The same of one already read. `samples`: whether answers hold any, to be compared; a model's do not."""
     verdicts = {
-        "lost": _lost(day), "duplicate": _duplicate(day), "drain": _drain(day), "cold": _cold(day),
-        "honest": _honest(day, samples), "budget": _budget(day),
+        "lost": _lost(day),
+        "duplicate": _duplicate(day),
+        "drain": _drain(day),
+        "cold": _cold(day),
+        "honest": _honest(day, samples),
+        "budget": _budget(day),
     }
     first = sum(len(found) > 0 for found in day.by_part.values())
     attempts = sum(len(found) for found in day.by_part.values())
@@ -73,15 +77,22 @@
         "kept": all(v.kept for v in verdicts.values()),
         "rules": {name: vars(v) for name, v in verdicts.items()},
         "worth": _worth(day),
-        "tries": len(day.tries), "outcomes": dict(sorted(outcomes.items())),
+        "tries": len(day.tries),
+        "outcomes": dict(sorted(outcomes.items())),
         "latency_ms": _latencies(day),
-        "parts": first, "attempts": attempts, "further": attempts - first, "copies": _copies(day),
+        "parts": first,
+        "attempts": attempts,
+        "further": attempts - first,
+        "copies": _copies(day),
         "most_runs_a_part": max((sum(_ran(s) for s in found) for found in day.by_part.values()), default=0),
-        "subtrees": len(day.branches), "stray": _stray(day),
+        "subtrees": len(day.branches),
+        "stray": _stray(day),
         "usage": next((r["usage"] for r in day.director if r["kind"] == "usage"), {}),
         "bytes_exchanged": day.exchanged,
         "told_of_changes_ms": _news(day),
-        "calls": len(day.sends), "torn_lines": day.torn, "unmapped": day.facts["unmapped"],
+        "calls": len(day.sends),
+        "torn_lines": day.torn,
+        "unmapped": day.facts["unmapped"],
         "exits": next((r["statuses"] for r in day.director if r["kind"] == "ended"), {}),
     }
 
@@ -89,7 +100,8 @@
 def _was_killed(day: Day, record: Record) -> bool:
     """Whether the co-ordinator of a try was killed while it held it: that one is the client's to ask again."""
     return any(
-        r["kind"] == "killed" and r["coordinator"] == record["coordinator"]
+        r["kind"] == "killed"
+        and r["coordinator"] == record["coordinator"]
         and record["sent"] - 0.1 <= r["t"] <= record["ended"] + 0.1
         for r in day.director
     )
@@ -218,7 +230,11 @@
     at = start - day.began()
     faults = day.facts["agent_faults"]
     for agent in range(day.facts["consul_agents"]):
-        if all(end + _AGENT_BACK < at or begin > at + day.facts["grace"] for a, begin, end in faults if a == agent):
+        if all(
+            end + _AGENT_BACK < at or begin > at + day.facts["grace"]
+            for a, begin, end in faults
+            if a == agent
+        ):
             return start if told is None else min(told, start + day.facts["grace"] / 2)
     return told
 
@@ -256,9 +272,13 @@
                 total -= came[first][1]
                 first += 1
             age, start = at - up, model["start_capacity"]
-            can = model["cores"] * min(1.0, start + (1 - start) * age / model["ramp_time"]) * model["fall_time"]
+            can = (
+                model["cores"] * min(1.0, start + (1 - start) * age / model["ramp_time"]) * model["fall_time"]
+            )
             worst = max(worst, total / (model["fall_multiple"] * can))
-        verdict.put(worst, f"node {node}: sent {worst:.2f} of what pushes it over, {up - day.began():.1f} s in")
+        verdict.put(
+            worst, f"node {node}: sent {worst:.2f} of what pushes it over, {up - day.began():.1f} s in"
+        )
     for record in day.nodes:
         if record["kind"] == "fell" and verdict.kept:
             verdict.breach(f"node {record['node']}: fell over")
@@ -301,7 +321,9 @@
 
 def _same(got: list[Series], want: list[Series]) -> bool:
     return len(got) == len(want) and all(
-        a.labels == b.labels and np.array_equal(a.timestamps, b.timestamps) and np.array_equal(a.values, b.values)
+        a.labels == b.labels
+        and np.array_equal(a.timestamps, b.timestamps)
+        and np.array_equal(a.values, b.values)
         for a, b in zip(got, want, strict=True)
     )
 
@@ -373,7 +395,9 @@
             worked += done["t"] - send.took["t"]
             late += max(done["t"] - max(send.took["t"], max(ends)), 0.0)
     return {
-        "sends": after, "share_of_sends": round(after / max(sent, 1), 5), "work_s": round(late, 3),
+        "sends": after,
+        "share_of_sends": round(after / max(sent, 1), 5),
+        "work_s": round(late, 3),
         "share_of_work": round(late / max(worked, 1e-9), 5),
     }
 
@@ -407,8 +431,12 @@
             served += worth
             by_class[demand["query_class"]][1] += worth
     return {
-        "asked": round(asked, 3), "served": round(served, 3), "bound": round(bound, 3),
-        "by_class": {name: {"asked": round(a, 3), "served": round(s, 3)} for name, (a, s) in by_class.items()},
+        "asked": round(asked, 3),
+        "served": round(served, 3),
+        "bound": round(bound, 3),
+        "by_class": {
+            name: {"asked": round(a, 3), "served": round(s, 3)} for name, (a, s) in by_class.items()
+        },
     }
 
 
@@ -439,8 +467,7 @@
 def _latencies(day: Day) -> dict[str, dict[str, float]]:
     """The same in milliseconds, as quantiles."""
     return {
-        name: {"count": h.get_total_count()} | {
-            f"p{q:g}": round(h.get_value_at_percentile(q) / 1000, 2) for q in (50, 90, 99, 99.9)
-        }
+        name: {"count": h.get_total_count()}
+        | {f"p{q:g}": round(h.get_value_at_percentile(q) / 1000, 2) for q in (50, 90, 99, 99.9)}
         for name, h in sorted(histograms(day).items())
     }
--- a/gingervane/cli/main.py
+++ b/gingervane/cli/main.py
@@ -85,8 +85,13 @@
 @click.option("--timeout", type=float, default=10.0, show_default=True, help="Seconds.")
 @click.option("--partial", is_flag=True, help="Take an answer that is not whole.")
 def query(
-    address: str, selector: str, start: float | None, end: float | None, query_class: str | None,
-    timeout: float, partial: bool,
+    address: str,
+    selector: str,
+    start: float | None,
+    end: float | None,
+    query_class: str | None,
+    timeout: float,
+    partial: bool,
 ) -> None:
     """Ask the co-ordinator at ADDRESS for SELECTOR, such as '{__name__="wind_speed",tile=~"t00."}'."""
     from gingervane.lab import demonstration
@@ -108,7 +113,9 @@
 @main.command()
 @click.argument("scenario", required=False)
 @click.option("--from-day", type=_CONFIG, help="A bench day file to play instead.")
-@click.option("--out", type=click.Path(path_type=Path), required=True, help="A folder for records; it is emptied.")
+@click.option(
+    "--out", type=click.Path(path_type=Path), required=True, help="A folder for records; it is emptied."
+)
 def rehearse(scenario: str | None, from_day: Path | None, out: Path) -> None:
     """Play SCENARIO (a file, or one that ships, such as bad-day) and judge the six rules; 0 only if all hold."""
     from gingervane.lab import fromday, report
@@ -136,7 +143,9 @@
 
 @lab.command("run")
 @click.argument("experiment")
-@click.option("--out", type=click.Path(path_type=Path, file_okay=False), required=True, help="Where runs are kept.")
+@click.option(
+    "--out", type=click.Path(path_type=Path, file_okay=False), required=True, help="Where runs are kept."
+)
 @click.option("--sockets", is_flag=True, help="On sockets and processes, not in simulated time.")
 @click.option("--workers", type=click.IntRange(1, 256), default=4, show_default=True)
 def lab_run(experiment: str, out: Path, sockets: bool, workers: int) -> None:
@@ -166,7 +175,9 @@
 
 @lab.command("report")
 @click.argument("experiment")
-@click.option("--out", type=click.Path(path_type=Path, file_okay=False), required=True, help="Where runs are kept.")
+@click.option(
+    "--out", type=click.Path(path_type=Path, file_okay=False), required=True, help="Where runs are kept."
+)
 def lab_report(experiment: str, out: Path) -> None:
     """Write tables and charts of EXPERIMENT's runs, of the version of the code that was played last."""
     from gingervane.lab import experiment as experiments
@@ -191,7 +202,9 @@
 @lab.command("compare")
 @click.argument("a")
 @click.argument("b")
-@click.option("--out", type=click.Path(path_type=Path, file_okay=False), required=True, help="Where runs are kept.")
+@click.option(
+    "--out", type=click.Path(path_type=Path, file_okay=False), required=True, help="Where runs are kept."
+)
 def lab_compare(a: str, b: str, out: Path) -> None:
     """B less A, paired by cell and seed. Each is EXPERIMENT, or EXPERIMENT@WORLD, or EXPERIMENT@WORLD@VERSION."""
     from rich.console import Console
--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -46,10 +46,17 @@
     """Counts what is held; refuses past the bounds. Shared by front threads and the decision thread."""
 
     def __init__(
-        self, bounds: Bounds, longest_advice: float, now: Callable[[], float] = time.monotonic,
+        self,
+        bounds: Bounds,
+        longest_advice: float,
+        now: Callable[[], float] = time.monotonic,
     ) -> None:
         self._bounds, self._lock, self._now = bounds, Lock(), now
-        self._longest, self._room, self._memory = longest_advice, Advice(longest_advice), Advice(longest_advice)
+        self._longest, self._room, self._memory = (
+            longest_advice,
+            Advice(longest_advice),
+            Advice(longest_advice),
+        )
         self._open = self._bytes = 0
         self._closed = ""
 
@@ -189,8 +196,13 @@
     """Owns the decision thread. Each ticket that `submit` gives out is settled exactly once."""
 
     def __init__(
-        self, module: Module, settings: api.Settings, bounds: Bounds, observer: Observer,
-        senders: Callable[[Callable[[list[t.Ended]], None]], Carrier], outside: Outside | None = None,
+        self,
+        module: Module,
+        settings: api.Settings,
+        bounds: Bounds,
+        observer: Observer,
+        senders: Callable[[Callable[[list[t.Ended]], None]], Carrier],
+        outside: Outside | None = None,
         gather: float = 0.0,
     ) -> None:
         """`gather`: seconds between the starts of two turns, at least; what comes meanwhile makes one batch."""
@@ -226,7 +238,9 @@
 
         `answers`: where its final answer goes, for a caller that waits for several tickets at once.
         """
-        with self._door:  # guards against one that is admitted before the end, and put behind it where nobody looks
+        with (
+            self._door
+        ):  # guards against one that is admitted before the end, and put behind it where nobody looks
             self.admission.enter(1 + len(plan.parts), self._driver.held_bytes)
             ticket = Ticket(next(self._ids), plan, self, answers)
             self._inbox.put([t.Arrived(ticket.id, plan, ticket.settle)])
@@ -305,7 +319,9 @@
                     if not self._senders.start(call):
                         now = time.monotonic()
                         refused += [
-                            t.Ended(e.part, e.attempt, api.Outcome.NEVER_SENT, now, None, "every sender is taken")
+                            t.Ended(
+                                e.part, e.attempt, api.Outcome.NEVER_SENT, now, None, "every sender is taken"
+                            )
                             for e in call.errands
                         ]
                 case t.CallOff(call):
@@ -355,6 +371,9 @@
         """A core that has not been started; `offset` tells its module's seed from the others'."""
         seed = int.from_bytes(os.urandom(8), "big") if self.seed is None else self.seed + offset
         return Core(
-            Coordinator(settings, seed), settings, self.bounds, observer,
+            Coordinator(settings, seed),
+            settings,
+            self.bounds,
+            observer,
             lambda report: Senders(self.pool, self.senders, report),
         )
--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -190,7 +190,13 @@
             return []
         events: list[api.Event] = [
             api.QueryArrived(
-                arrived.id, arrived.id, plan.query_class, 0, len(plan.parts), plan.deadline, plan.is_repeat,
+                arrived.id,
+                arrived.id,
+                plan.query_class,
+                0,
+                len(plan.parts),
+                plan.deadline,
+                plan.is_repeat,
                 plan.predicted_cost,
             )
         ]
@@ -209,7 +215,10 @@
         return events
 
     def _hold_back(
-        self, event: api.MembershipChanged, now: float, effects: list[t.Effect],
+        self,
+        event: api.MembershipChanged,
+        now: float,
+        effects: list[t.Effect],
     ) -> list[api.Event]:
         """What was decided before a replica was known to drain and has not begun to leave does not leave later."""
         closed = {r.id for r in event.replicas if r.state is not api.ReplicaState.READY}
@@ -226,7 +235,9 @@
         events: list[api.Event] = []
         for number, attempt in out:
             if attempt.errand and attempt.errand.claim():
-                never = t.Ended(number, attempt.number, api.Outcome.NEVER_SENT, now, None, "its replica drains")
+                never = t.Ended(
+                    number, attempt.number, api.Outcome.NEVER_SENT, now, None, "its replica drains"
+                )
                 events += self._end(never, effects)
         return events
 
@@ -248,8 +259,15 @@
         elif ended.why:
             query.why = ended.why
         query.path.append(
-            t.AttemptNote(part.plan.shard, attempt.number, attempt.replica, outcome.value, seconds, attempt.run,
-                          outcome.never_ran)
+            t.AttemptNote(
+                part.plan.shard,
+                attempt.number,
+                attempt.replica,
+                outcome.value,
+                seconds,
+                attempt.run,
+                outcome.never_ran,
+            )
         )
         self.counts.outcomes[outcome.value] = self.counts.outcomes.get(outcome.value, 0) + 1
         self.observe(outcome, attempt.replica, seconds)
@@ -258,7 +276,9 @@
         told: list[api.Event] = [
             api.AttemptEnded(ended.part, attempt.number, attempt.replica, outcome, seconds)
         ]
-        return told + self._keep_back(ended.part, ended.ended_at, effects) if outcome is api.Outcome.OK else told
+        return (
+            told + self._keep_back(ended.part, ended.ended_at, effects) if outcome is api.Outcome.OK else told
+        )
 
     def _keep_back(self, number: int, now: float, effects: list[t.Effect]) -> list[api.Event]:
         """A part is wanted no more: what of it has not begun to leave never does, whether or not the platform lets
@@ -270,7 +290,9 @@
         part = self._parts.get(number)
         for attempt in list(part.out.values()) if part else ():
             if attempt.errand and attempt.errand.claim():
-                never = t.Ended(number, attempt.number, api.Outcome.NEVER_SENT, now, None, "not wanted any more")
+                never = t.Ended(
+                    number, attempt.number, api.Outcome.NEVER_SENT, now, None, "not wanted any more"
+                )
                 events += self._end(never, effects)
             elif attempt.errand and attempt.call and not self._settings.may_cancel:
                 effects.append(t.Withdraw(attempt.call, attempt.errand, tell=False, over=False))
@@ -282,7 +304,13 @@
         return self._end_here(now, part, attempt, api.Outcome.TIMED_OUT, "no reply in time", effects)
 
     def _end_here(
-        self, now: float, part: int, number: int, outcome: api.Outcome, why: str, effects: list[t.Effect],
+        self,
+        now: float,
+        part: int,
+        number: int,
+        outcome: api.Outcome,
+        why: str,
+        effects: list[t.Effect],
     ) -> list[api.Event]:
         """End an attempt that is still out from this side. What no sender had claimed was never sent."""
         attempt = self._parts[part].out.get(number) if part in self._parts else None
@@ -336,7 +364,12 @@
                     effects.append(t.Tell(payload))
 
     def _send(
-        self, now: float, number: int, replica: int, stop_at: float, calls: dict[tuple[int, int], t.Call],
+        self,
+        now: float,
+        number: int,
+        replica: int,
+        stop_at: float,
+        calls: dict[tuple[int, int], t.Call],
         effects: list[t.Effect],
     ) -> None:
         part = self._parts[number]
@@ -372,7 +405,12 @@
         self._timers.add(stop_at, (number, attempt.number))
 
     def _answer(
-        self, now: float, number: int, whole: bool, reason: api.EndReason, effects: list[t.Effect],
+        self,
+        now: float,
+        number: int,
+        whole: bool,
+        reason: api.EndReason,
+        effects: list[t.Effect],
     ) -> None:
         query = self._queries.get(number)
         if query is None:
@@ -397,7 +435,12 @@
         return ""
 
     def _answer_step(
-        self, now: float, query: _Query, verdict: t.Verdict, whole: bool, reason: api.EndReason,
+        self,
+        now: float,
+        query: _Query,
+        verdict: t.Verdict,
+        whole: bool,
+        reason: api.EndReason,
         effects: list[t.Effect],
     ) -> None:
         """The end of the query, or of its first step where the class has a second one."""
@@ -411,8 +454,15 @@
         self._again += self._ask(query, plan.second_step(first, whole), len(plan.parts))
 
     def _settle(
-        self, now: float, number: int, verdict: t.Verdict, reason: api.EndReason, effects: list[t.Effect],
-        wait: float = 0.0, why: str = "", whole: bool = False,
+        self,
+        now: float,
+        number: int,
+        verdict: t.Verdict,
+        reason: api.EndReason,
+        effects: list[t.Effect],
+        wait: float = 0.0,
+        why: str = "",
+        whole: bool = False,
     ) -> None:
         query = self._queries.pop(number, None)
         if query is None:
@@ -425,8 +475,18 @@
         if not query.path and verdict is t.Verdict.REFUSED and not why:
             why = "nothing was sent: too much is waiting, or a part has no replica that may be asked"
         final = t.Final(
-            verdict, results, wait, why or query.why, query.path, min(coverage, 1.0), size, whole, reason,
-            2 if query.second else 1, len(query.asked), len(query.results),
+            verdict,
+            results,
+            wait,
+            why or query.why,
+            query.path,
+            min(coverage, 1.0),
+            size,
+            whole,
+            reason,
+            2 if query.second else 1,
+            len(query.asked),
+            len(query.results),
         )
         self.counts.reasons[reason.value] = self.counts.reasons.get(reason.value, 0) + 1
         self.counts.verdicts[verdict.value] = self.counts.verdicts.get(verdict.value, 0) + 1
--- a/gingervane/coordinator/holders.py
+++ b/gingervane/coordinator/holders.py
@@ -53,7 +53,9 @@
             if row.state is not api.ReplicaState.GONE:
                 for back in range(min(self._width, self._cells)):
                     shard = (row.cell - back) % self._cells
-                    by_shard[shard].append(Holder(number, self._own[number], row.state, self._addresses[number]))
+                    by_shard[shard].append(
+                        Holder(number, self._own[number], row.state, self._addresses[number])
+                    )
         self._by_shard = {shard: tuple(found) for shard, found in by_shard.items()}
         rows = tuple(row._replace(cell=self._own[row.id]) for row in event.replicas)
         return listed._replace(event=event._replace(replicas=rows))
--- a/gingervane/coordinator/intent_log.py
+++ b/gingervane/coordinator/intent_log.py
@@ -63,9 +63,11 @@
 
 def pack(key: str, entry: Entry) -> bytes:
     """One record. Results are kept as they are, and must be JSON."""
-    return frame(orjson.dumps(
-        [key, entry.state.value, entry.digest, entry.version, entry.first, entry.at, entry.result]
-    ))
+    return frame(
+        orjson.dumps(
+            [key, entry.state.value, entry.digest, entry.version, entry.first, entry.at, entry.result]
+        )
+    )
 
 
 def unpack(content: bytes) -> tuple[str, Entry]:
@@ -114,8 +116,13 @@
     """A folder of segments `intents-N.log`. Raises OSError if it cannot be used."""
 
     def __init__(
-        self, folder: Path, keep: float, now: Callable[[], float], segment_bytes: int = 8 << 20,
-        write: Callable[[int, bytes], int] = os.write, force: Callable[[int], None] = os.fdatasync,
+        self,
+        folder: Path,
+        keep: float,
+        now: Callable[[], float],
+        segment_bytes: int = 8 << 20,
+        write: Callable[[int, bytes], int] = os.write,
+        force: Callable[[int], None] = os.fdatasync,
     ) -> None:
         """`now`: as `clock.seconds`. `write` and `force` stand for the disk."""
         self._folder, self._keep, self._now, self._size = folder, keep, now, segment_bytes
--- a/gingervane/coordinator/repair.py
+++ b/gingervane/coordinator/repair.py
@@ -35,7 +35,12 @@
     """A thread of its own. `start`, `stop`."""
 
     def __init__(
-        self, debts: Debts, holders: Holders, width: int, remote: Remote, remark: Callable[[str], None],
+        self,
+        debts: Debts,
+        holders: Holders,
+        width: int,
+        remote: Remote,
+        remark: Callable[[str], None],
     ) -> None:
         self._debts, self._holders, self._width = debts, holders, width
         self._remote, self._remark = remote, remark
@@ -78,8 +83,10 @@
     def figures(self) -> dict[str, float]:
         with self._lock:
             return {
-                "shards_owed": len(self._debts), "oldest_debt_seconds": self._debts.oldest(time.monotonic()),
-                "repairs": self._debts.paid, "points_repaired": self._debts.copied,
+                "shards_owed": len(self._debts),
+                "oldest_debt_seconds": self._debts.oldest(time.monotonic()),
+                "repairs": self._debts.paid,
+                "points_repaired": self._debts.copied,
                 "conflicts": self._debts.conflicts,
             }
 
@@ -96,7 +103,9 @@
             with self._lock:
                 self._debts.compared(place, time.monotonic(), copied, conflicts, whole)
             if conflicts:
-                self._remark(f"{place.collection}/s{place.shard}: {conflicts} points differ under one version")
+                self._remark(
+                    f"{place.collection}/s{place.shard}: {conflicts} points differ under one version"
+                )
 
     def _compare(self, place: Place, room: int) -> tuple[int, int, bool]:
         """One round over a shard's holders: points copied, conflicts, and whether nothing is left."""
--- a/gingervane/coordinator/replicated.py
+++ b/gingervane/coordinator/replicated.py
@@ -54,9 +54,16 @@
     """Two cores and what they share. `listed` takes lists on one thread; `start`, `stop`, `close`."""
 
     def __init__(
-        self, ring: Ring, keys: Keys, budget: Budget, base: api.Settings, remote: Remote,
-        make: Callable[[api.Settings, Observer], Core], observer: Callable[[str], Observer],
-        complain: Callable[[str], None], names: Iterable[str],
+        self,
+        ring: Ring,
+        keys: Keys,
+        budget: Budget,
+        base: api.Settings,
+        remote: Remote,
+        make: Callable[[api.Settings, Observer], Core],
+        observer: Callable[[str], Observer],
+        complain: Callable[[str], None],
+        names: Iterable[str],
     ) -> None:
         """`base`: what a module is told, but for the ring; `make` makes a core; `names`: of classes.
 
@@ -76,12 +83,23 @@
         self._cores = make(reads, observer("search")), make(writes, seen)
         self.reads = Desk(self._cores[0], names)
         self.writes = Writes(
-            Desk(self._cores[1], names), self.holders, ring.quorum, ring.width, intents, self.log, clock,
-            self.repairer, seen.remark,
+            Desk(self._cores[1], names),
+            self.holders,
+            ring.quorum,
+            ring.width,
+            intents,
+            self.log,
+            clock,
+            self.repairer,
+            seen.remark,
         )
 
     def _open(
-        self, keys: Keys, intents: Intents, clock: Clock, complain: Callable[[str], None],
+        self,
+        keys: Keys,
+        intents: Intents,
+        clock: Clock,
+        complain: Callable[[str], None],
     ) -> IntentLog | None:
         """Read back what an earlier process knew, before anything is asked."""
         if keys.folder is None:
--- a/gingervane/coordinator/sender.py
+++ b/gingervane/coordinator/sender.py
@@ -114,9 +114,12 @@
             errands, stale = call.go(time.monotonic())
             if stale:  # ended here and now, whatever becomes of the others
                 now = time.monotonic()
-                self._report([
-                    t.Ended(e.part, e.attempt, Outcome.NEVER_SENT, now, None, "waited too long") for e in stale
-                ])
+                self._report(
+                    [
+                        t.Ended(e.part, e.attempt, Outcome.NEVER_SENT, now, None, "waited too long")
+                        for e in stale
+                    ]
+                )
             if not errands:
                 return self._leave(call, connection, lease)
             contents = [errand.content for errand in errands]
@@ -166,7 +169,10 @@
 
 
 def _all(
-    call: t.Call, outcome: Callable[[t.Errand], Outcome], why: str, at: float | None = None,
+    call: t.Call,
+    outcome: Callable[[t.Errand], Outcome],
+    why: str,
+    at: float | None = None,
 ) -> list[t.Ended]:
     now = time.monotonic() if at is None else at
     return [t.Ended(e.part, e.attempt, outcome(e), now, None, why) for e in call.errands]
--- a/gingervane/coordinator/starts.py
+++ b/gingervane/coordinator/starts.py
@@ -28,7 +28,9 @@
     """Places starts. Owner: the thread that reads lists."""
 
     def __init__(
-        self, monotonic: Callable[[], float] = time.monotonic, wall: Callable[[], float] = time.time,
+        self,
+        monotonic: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
     ) -> None:
         self._monotonic, self._wall = monotonic, wall
         self._first = self._offset = monotonic() - wall()  # the monotonic clock less Unix time, seconds
--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -188,7 +188,12 @@
     __slots__ = ("part", "attempt", "content", "semantics", "stop_at", "_unclaimed")
 
     def __init__(
-        self, part: int, attempt: int, content: Any, semantics: api.Semantics, stop_at: float = inf,
+        self,
+        part: int,
+        attempt: int,
+        content: Any,
+        semantics: api.Semantics,
+        stop_at: float = inf,
     ) -> None:
         """`stop_at`: when its own client's time is up; the call's is the latest of its errands'."""
         self.part, self.attempt, self.content, self.semantics = part, attempt, content, semantics
--- a/gingervane/coordinator/writes.py
+++ b/gingervane/coordinator/writes.py
@@ -26,7 +26,6 @@
 from gingervane.coordinator.intents import Do, Entry, Intents, State
 
 
-
 class Work(NamedTuple):
     """One write as a front has read it.
 
@@ -57,7 +56,9 @@
 class Owed(Protocol):
     """Told of each write's holders, and of what each of them says."""
 
-    def sent(self, place: Place, version: int, holders: Iterable[int], absent: bool, until: float) -> None: ...
+    def sent(
+        self, place: Place, version: int, holders: Iterable[int], absent: bool, until: float
+    ) -> None: ...
 
     def did(self, place: Place, version: int, holder: int) -> None: ...
 
@@ -86,8 +87,17 @@
     """Carries out writes on front threads. `_lock` is over the intents, who waits for them, and the counts."""
 
     def __init__(
-        self, desk: Desk, holders: Holders, quorum: int, width: int, intents: Intents, log: IntentLog | None,
-        clock: Clock, owed: Owed, remark: Callable[[str], None], now: Callable[[], float] = real_seconds,
+        self,
+        desk: Desk,
+        holders: Holders,
+        quorum: int,
+        width: int,
+        intents: Intents,
+        log: IntentLog | None,
+        clock: Clock,
+        owed: Owed,
+        remark: Callable[[str], None],
+        now: Callable[[], float] = real_seconds,
     ) -> None:
         """`desk`: of the core that decides writes; `now`: as `clock.seconds`, for the windows of keys."""
         self._desk, self._holders, self._quorum, self._width = desk, holders, quorum, width
@@ -139,7 +149,11 @@
     def _known(self, do: Do, version: int, result: Any) -> Outcome:
         """A key that needs no sending."""
         with self._lock:
-            for what, count in ((Do.ANSWER, "repeats"), (Do.TOO_LATE, "too_late"), (Do.MISMATCH, "mismatches")):
+            for what, count in (
+                (Do.ANSWER, "repeats"),
+                (Do.TOO_LATE, "too_late"),
+                (Do.MISMATCH, "mismatches"),
+            ):
                 self.counts[count] += do is what
         if do is Do.ANSWER:
             return Outcome(Do.ANSWER, State.DONE, share=float(result["share"]), version=version, repeat=True)
@@ -175,7 +189,8 @@
                 return Outcome(Do.SEND, State.IDLE, why, 1.0, version=version)
             share = 1.0 / len(ready)
             plans[shard] = (
-                [h.replica for h in ready], tuple(t.PartPlan(h.cell, share, content(h.replica)) for h in ready)
+                [h.replica for h in ready],
+                tuple(t.PartPlan(h.cell, share, content(h.replica)) for h in ready),
             )
         reserve = self._desk.reserve(work.name, len(plans), max(until - time.monotonic(), 0.0))
         answers, tickets = Answers(), dict[Ticket, int]()
@@ -201,7 +216,11 @@
         return outcome
 
     def _judge(
-        self, space: str, finals: dict[int, t.Final], refused: Refused | None, version: int,
+        self,
+        space: str,
+        finals: dict[int, t.Final],
+        refused: Refused | None,
+        version: int,
     ) -> Outcome:
         """What came of a write, from what came of each of its shards."""
         done = {shard: len(final.results) for shard, final in finals.items()}
@@ -236,7 +255,9 @@
     begun is cancelled: whether it was done is news."""
     least, chosen = quorum / width - 1e-6, set(lenient)
     classes = tuple(
-        c._replace(least_share=least, whole_share=least, late_worth=1.0, short_worth=1.0) if i in chosen else c
+        c._replace(least_share=least, whole_share=least, late_worth=1.0, short_worth=1.0)
+        if i in chosen
+        else c
         for i, c in enumerate(base.classes)
     )
     return base._replace(classes=classes, cells=MOST_CELLS, width=1, may_cancel=False)
--- a/gingervane/daemon/app.py
+++ b/gingervane/daemon/app.py
@@ -52,10 +52,17 @@
         told = self._log.debug if final.verdict is t.Verdict.WHOLE else self._log.info
         if self._debug or final.verdict is not t.Verdict.WHOLE:
             told(
-                "query settled", query=query, query_class=plan.tag, verdict=verdict, seconds=round(seconds, 4),
-                parts=len(plan.parts), coverage=round(final.coverage, 4), attempts=len(final.path),
+                "query settled",
+                query=query,
+                query_class=plan.tag,
+                verdict=verdict,
+                seconds=round(seconds, 4),
+                parts=len(plan.parts),
+                coverage=round(final.coverage, 4),
+                attempts=len(final.path),
                 reason=final.reason.value,
-                further=sum(step.attempt > 0 for step in final.path), why=final.why,
+                further=sum(step.attempt > 0 for step in final.path),
+                why=final.why,
             )
 
     def attempt(self, outcome: api.Outcome, replica: int, seconds: float) -> None:
@@ -77,7 +84,9 @@
 
 def _log_health(log: Any, change: api.HealthChange) -> None:
     if isinstance(change, api.ReplicaEjected):
-        log.info("replica ejected", replica=change.replica, seconds=change.seconds, reason=change.reason.value)
+        log.info(
+            "replica ejected", replica=change.replica, seconds=change.seconds, reason=change.reason.value
+        )
     else:
         log.info("replica reinstated", replica=change.replica)
 
@@ -119,7 +128,11 @@
         self._metrics.vector_seconds.add((self._core, plan.tag, verdict), seconds)
         if final.verdict in (t.Verdict.REFUSED, t.Verdict.FAILED):
             self._log.info(
-                "query settled", core=self._core, query_class=plan.tag, verdict=verdict, parts=len(plan.parts),
+                "query settled",
+                core=self._core,
+                query_class=plan.tag,
+                verdict=verdict,
+                parts=len(plan.parts),
                 why=final.why,
             )
 
@@ -161,27 +174,54 @@
         shares = {remote_read.NAME: limits.front_shares[0], vectors.NAME: limits.front_shares[1]}
         self.gate = Gate(shares, limits.front_slots, limits.front_waiting)
         self._front = RemoteReadFront(
-            self.core, ShardIndex(config.shards.label, config.shards.names), classes,
+            self.core,
+            ShardIndex(config.shards.label, config.shards.names),
+            classes,
             config.default_class or config.classes[0].name,
             FrontLimits(listen.max_message_bytes, listen.max_queries, listen.max_matchers),
-            limits.reply_bytes, config.shards.keep_label, self.gate, tree,
+            limits.reply_bytes,
+            config.shards.keep_label,
+            self.gate,
+            tree,
         )
         fronts: list[Front] = [self._front]
-        self._server = HttpServer(listen.host, listen.port, self._handle, ServerLimits(
-            listen.max_connections, listen.idle_timeout, listen.head_timeout, listen.body_timeout,
-            listen.write_timeout, Limits(listen.max_head_bytes, listen.max_body_bytes), listen.stack_bytes,
-        ))
+        self._server = HttpServer(
+            listen.host,
+            listen.port,
+            self._handle,
+            ServerLimits(
+                listen.max_connections,
+                listen.idle_timeout,
+                listen.head_timeout,
+                listen.body_timeout,
+                listen.write_timeout,
+                Limits(listen.max_head_bytes, listen.max_body_bytes),
+                listen.stack_bytes,
+            ),
+        )
         rings = Rings(config.shards.cells, config.tree.ring if config.tree else 1)
         self.membership = MembershipService(
-            config.membership, config.fleet, config.tree, rings, self.address, self._listed, self._peers_listed,
-            lambda what: self._log.error("server list", fault=what), random.Random(),
+            config.membership,
+            config.fleet,
+            config.tree,
+            rings,
+            self.address,
+            self._listed,
+            self._peers_listed,
+            lambda what: self._log.error("server list", fault=what),
+            random.Random(),
         )
         observer.answered = self.membership.nodes.answered
         self.vectors: VectorService | None = None
         if config.vectors:
             self.vectors = VectorService(
-                config, classes, cores, lambda core: _Vectors(self.metrics, core), self.address,
-                lambda what: self._log.error("vectors", fault=what), self.gate,
+                config,
+                classes,
+                cores,
+                lambda core: _Vectors(self.metrics, core),
+                self.address,
+                lambda what: self._log.error("vectors", fault=what),
+                self.gate,
             )
             fronts.append(self.vectors.front)
         self._router = Router([*self._own_pages(), *(route for front in fronts for route in front.routes())])
@@ -208,7 +248,9 @@
             return
         own, members = self.config.tree.name, self.membership.peers.members
         rows = tuple(
-            row._replace(state=api.ReplicaState.GONE) if row.id in members and members[row.id].name == own else row
+            row._replace(state=api.ReplicaState.GONE)
+            if row.id in members and members[row.id].name == own
+            else row
             for row in listed.event.replicas
         )
         ready = frozenset(
@@ -240,7 +282,9 @@
         self.membership.stop()
         if self.vectors:
             self.vectors.stop()
-        stopped = [threading.Thread(target=core.stop, args=(self.config.shutdown.grace,)) for core in self._cores()]
+        stopped = [
+            threading.Thread(target=core.stop, args=(self.config.shutdown.grace,)) for core in self._cores()
+        ]
         for thread in stopped:
             thread.start()
         for thread in stopped:
@@ -265,21 +309,29 @@
         return 1 if any(c.broken.is_set() for c in self._cores()) else 0
 
     def _cores(self) -> list[Core]:
-        return [core for core in (self.branch, self.core, *(self.vectors.cores if self.vectors else ())) if core]
+        return [
+            core for core in (self.branch, self.core, *(self.vectors.cores if self.vectors else ())) if core
+        ]
 
     def _gauges(self) -> dict[str, float]:
         return {
-            "open": self.core.admission.open, "result_bytes": self.core.admission.held_bytes,
-            "calls_out": self.core.calls_held, "client_connections": self._server.connections,
-            "turns_refused": self.gate.refused, "turns_waiting": sum(map(self.gate.waiting, self.gate.names)),
-            "connections_refused": self._server.refused, "standstills": self._server.standstills,
+            "open": self.core.admission.open,
+            "result_bytes": self.core.admission.held_bytes,
+            "calls_out": self.core.calls_held,
+            "client_connections": self._server.connections,
+            "turns_refused": self.gate.refused,
+            "turns_waiting": sum(map(self.gate.waiting, self.gate.names)),
+            "connections_refused": self._server.refused,
+            "standstills": self._server.standstills,
             "threads": threading.active_count(),
-            "queries_cut": self._front.cuts, "children_listed": len(self._peers.ready),
+            "queries_cut": self._front.cuts,
+            "children_listed": len(self._peers.ready),
             "subtrees_open": self.branch.admission.open if self.branch else 0,
             "uptime_seconds": time.monotonic() - self._began,
             "server_list_age_seconds": self.membership.nodes.age(time.monotonic()),
             **(self.vectors.figures() if self.vectors else {}),
-            "consul_calls": self.membership.calls, "consul_registered": self.membership.registered,
+            "consul_calls": self.membership.calls,
+            "consul_registered": self.membership.registered,
         }
 
     def _handle(self, request: Request, body: bytes, arrived: float, client: http_server.Exchange) -> Reply:
--- a/gingervane/daemon/logs.py
+++ b/gingervane/daemon/logs.py
@@ -12,7 +12,8 @@
 def configure(style: str, level: str) -> None:
     """Set up logging for the process."""
     render: Any = (
-        structlog.processors.JSONRenderer() if style == "json"
+        structlog.processors.JSONRenderer()
+        if style == "json"
         else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
     )
     structlog.configure(
--- a/gingervane/daemon/metrics.py
+++ b/gingervane/daemon/metrics.py
@@ -61,10 +61,20 @@
     def collect(self) -> Iterator[Any]:
         counts = self.read()
         if counts is not None:
-            for name in ("queries", "parts", "attempts", "further", "calls", "late_endings", "withheld", "batches"):
+            for name in (
+                "queries",
+                "parts",
+                "attempts",
+                "further",
+                "calls",
+                "late_endings",
+                "withheld",
+                "batches",
+            ):
                 yield CounterMetricFamily(f"gingervane_{name}", f"{name} so far", value=getattr(counts, name))
             for name, label, table in (
-                ("answers", "verdict", counts.verdicts), ("endings", "outcome", counts.outcomes),
+                ("answers", "verdict", counts.verdicts),
+                ("endings", "outcome", counts.outcomes),
                 ("settled", "reason", counts.reasons),
             ):
                 family = CounterMetricFamily(f"gingervane_{name}", f"{name} so far", labels=[label])
--- a/gingervane/daemon/settings.py
+++ b/gingervane/daemon/settings.py
@@ -16,7 +16,9 @@
 Share = Annotated[float, Field(gt=0, le=1)]
 Count = Annotated[int, Field(gt=0, le=10_000_000)]
 Bytes = Annotated[int, Field(ge=1024, le=1 << 34)]
-BRANCH_SHARE = 0.25  # of the free further attempts, for subtrees where there is a tree; the rest is for leaves
+BRANCH_SHARE = (
+    0.25  # of the free further attempts, for subtrees where there is a tree; the rest is for leaves
+)
 M = TypeVar("M", bound=BaseModel)
 Name = Annotated[str, Field(min_length=1, max_length=200)]
 
@@ -144,9 +146,11 @@
         if self.aim > self.deadline:
             raise ValueError(f"aim: {self.aim:g} s is past the deadline of {self.deadline:g} s")
         if self.whole_share < self.least_share:
-            raise ValueError(f"whole_share: {self.whole_share:g} is under the least_share of {self.least_share:g}")
+            raise ValueError(
+                f"whole_share: {self.whole_share:g} is under the least_share of {self.least_share:g}"
+            )
         if (self.semantics is api.Semantics.KEYED) != (self.repeat_window is not None):
-            raise ValueError("repeat_window: goes with semantics = \"keyed\", and only with it")
+            raise ValueError('repeat_window: goes with semantics = "keyed", and only with it')
         return self
 
 
@@ -171,7 +175,10 @@
     longest_wait_advice: Seconds = 1.0
     front_slots: Annotated[int, Field(gt=0, le=64)] = 4  # requests that are read, merged or written at once
     front_waiting: Count = 512  # that wait for their turn, of each front
-    front_shares: tuple[Share, Share] = (0.5, 0.5)  # of the turns, where both fronts want them: remote read, vectors
+    front_shares: tuple[Share, Share] = (
+        0.5,
+        0.5,
+    )  # of the turns, where both fronts want them: remote read, vectors
     copies: bool = True  # whether a late part may be asked of another replica before it has failed
 
 
@@ -235,7 +242,9 @@
     cells: Annotated[int, Field(gt=0, le=4096)]
     width: Annotated[int, Field(gt=0, le=9)] = 3
     quorum: Annotated[int, Field(gt=0, le=9)] = 2
-    collections: Annotated[tuple[CollectionTable, ...], Field(alias="collection", min_length=1, max_length=100)]
+    collections: Annotated[
+        tuple[CollectionTable, ...], Field(alias="collection", min_length=1, max_length=100)
+    ]
     search_class: str
     upsert_class: str
     add_class: str
@@ -283,7 +292,9 @@
             raise ValueError(f"default_class: {self.default_class!r} is not one of {', '.join(names)}")
         for key, kind in (("search_class", "safe"), ("upsert_class", "keyed"), ("add_class", "unsafe")):
             wanted = getattr(self.vectors, key, None)
-            if wanted is not None and not any(c.name == wanted and c.semantics.value == kind for c in self.classes):
+            if wanted is not None and not any(
+                c.name == wanted and c.semantics.value == kind for c in self.classes
+            ):
                 raise ValueError(f"vectors.{key}: {wanted!r} is no class that is {kind}")
         return self
 
@@ -292,37 +303,67 @@
         for a parent, which sums: it waits for all to its last moment and then answers with whatever is in."""
         limits, cold, budget = self.limits, self.replicas, self.budget
         free = budget.free * (1.0 if self.tree is None else 1.0 - BRANCH_SHARE) if budget else None
-        twins = [twin for c in self.classes for twin in (
-            _class(c, 1.0), _class(c, c.least_share)._replace(whole_share=c.whole_share),
-            _class(c, 1e-6)._replace(late_worth=1.0),
-        )]
+        twins = [
+            twin
+            for c in self.classes
+            for twin in (
+                _class(c, 1.0),
+                _class(c, c.least_share)._replace(whole_share=c.whole_share),
+                _class(c, 1e-6)._replace(late_worth=1.0),
+            )
+        ]
         return api.Settings(
-            coordinators=self.fleet.coordinators, zone=self.fleet.zones.index(self.fleet.zone),
-            classes=tuple(twins), tenant_quotas=(), granularity=0.005, cells=self.shards.cells,
-            width=self.shards.width, parts_per_call=limits.parts_per_call, most_attempts=limits.most_attempts,
-            may_cancel=True, may_message_peers=False, may_copy=limits.copies, may_advise_wait=True,
-            longest_wait_advice=limits.longest_wait_advice, must_ask_membership=False,
-            start_capacity=cold.start_capacity, ramp_time=cold.ramp_time, fall_time=cold.fall_time,
-            fall_multiple=cold.fall_multiple, budget_free=free, budget_share=budget.share if budget else None,
-            budget_span=budget.span if budget else None, hand_over=HAND_OVER,
+            coordinators=self.fleet.coordinators,
+            zone=self.fleet.zones.index(self.fleet.zone),
+            classes=tuple(twins),
+            tenant_quotas=(),
+            granularity=0.005,
+            cells=self.shards.cells,
+            width=self.shards.width,
+            parts_per_call=limits.parts_per_call,
+            most_attempts=limits.most_attempts,
+            may_cancel=True,
+            may_message_peers=False,
+            may_copy=limits.copies,
+            may_advise_wait=True,
+            longest_wait_advice=limits.longest_wait_advice,
+            must_ask_membership=False,
+            start_capacity=cold.start_capacity,
+            ramp_time=cold.ramp_time,
+            fall_time=cold.fall_time,
+            fall_multiple=cold.fall_multiple,
+            budget_free=free,
+            budget_share=budget.share if budget else None,
+            budget_span=budget.span if budget else None,
+            hand_over=HAND_OVER,
         )
 
-
     def branch_settings(self) -> api.Settings:
         """What the module that decides among child co-ordinators is told; its parts are subtrees."""
         tree, budget = self.tree, self.budget
         assert tree is not None
         return self.module_settings()._replace(
-            classes=tuple(_class(c, 1.0) for c in self.classes), cells=tree.ring, width=min(tree.width, tree.ring),
-            parts_per_call=1, ramp_time=tree.ramp_time,
+            classes=tuple(_class(c, 1.0) for c in self.classes),
+            cells=tree.ring,
+            width=min(tree.width, tree.ring),
+            parts_per_call=1,
+            ramp_time=tree.ramp_time,
             budget_free=budget.free * BRANCH_SHARE if budget else None,
         )
 
 
 def _class(c: Class, least: float) -> api.QueryClass:
     return api.QueryClass(
-        aim=c.aim, deadline=c.deadline, semantics=c.semantics, repeat_window=c.repeat_window, second_step_parts=0,
-        least_share=least, whole_share=1.0, aim_stretch=None, late_worth=c.late_worth, short_worth=c.short_worth,
+        aim=c.aim,
+        deadline=c.deadline,
+        semantics=c.semantics,
+        repeat_window=c.repeat_window,
+        second_step_parts=0,
+        least_share=least,
+        whole_share=1.0,
+        aim_stretch=None,
+        late_worth=c.late_worth,
+        short_worth=c.short_worth,
     )
 
 
@@ -367,9 +408,12 @@
     except ValidationError as error:
         found = error.errors()
         # Faulty items are left out before an array is counted: what then seems too short is no fault of its own.
-        real = [e for e in found if e["type"] != "too_short" or not any(
-            other is not e and other["loc"][: len(e["loc"])] == e["loc"] for other in found
-        )]
+        real = [
+            e
+            for e in found
+            if e["type"] != "too_short"
+            or not any(other is not e and other["loc"][: len(e["loc"])] == e["loc"] for other in found)
+        ]
         raise SettingsError("\n".join(f"{path}: {_fault(model, e)}" for e in real)) from None
 
 
--- a/gingervane/emulator/coordinator.py
+++ b/gingervane/emulator/coordinator.py
@@ -74,7 +74,14 @@
     """One process, from a launch to its end. A new one takes its place after a kill."""
 
     def __init__(
-        self, number: int, config: Config, seed: int, clock: Clock, nodes: list[SimNode], net: Net, costs: Costs,
+        self,
+        number: int,
+        config: Config,
+        seed: int,
+        clock: Clock,
+        nodes: list[SimNode],
+        net: Net,
+        costs: Costs,
         sent: Callable[[SimCoordinator, int, list[Any]], Callable[[dict[str, Any]], None]],
     ) -> None:
         """`sent` is told of each call that leaves and gives what takes the node's record of it."""
@@ -98,7 +105,9 @@
         self._held_by = Counter[int]()
         self._running = 0
         self._waiting: deque[t.Call] = deque()
-        self._off: dict[int, Callable[[], None]] = {}  # what to do about a call that nobody waits for any more
+        self._off: dict[
+            int, Callable[[], None]
+        ] = {}  # what to do about a call that nobody waits for any more
         self._idle = Counter[int]()  # connections kept, by node
         self.busy = 0.0
         self._still = Standstill(clock.now)
@@ -113,7 +122,9 @@
     def ask(self, asked: Asked) -> Callable[[], None]:
         """A client's bytes are here; what to call when it leaves."""
         cell: list[int] = []
-        self._work(self._costs.query / 2 + self._costs.part * len(asked.parts) / 2, lambda: self._begin(asked, cell))
+        self._work(
+            self._costs.query / 2 + self._costs.part * len(asked.parts) / 2, lambda: self._begin(asked, cell)
+        )
         return lambda: self._put(t.Left(cell[0])) if cell and self.alive else None
 
     def stall(self, seconds: float) -> None:
@@ -242,7 +253,9 @@
         """From here on its parts may run."""
         errands, stale = call.go(self._clock.now) if call.id in self._off else ([], [])
         for errand in stale:
-            self._put(t.Ended(errand.part, errand.attempt, Outcome.NEVER_SENT, self._clock.now, None, "waited"))
+            self._put(
+                t.Ended(errand.part, errand.attempt, Outcome.NEVER_SENT, self._clock.now, None, "waited")
+            )
         if not errands:
             self._idle[call.replica] += 1
             self._end(call, call.errands, Outcome.NEVER_SENT)
@@ -286,7 +299,8 @@
         self._idle[call.replica] += 1
         semantics = errands[0].semantics
         outcome = {
-            Reply.GOOD: Outcome.OK, Reply.BAD: endings.refused(semantics, False, False),
+            Reply.GOOD: Outcome.OK,
+            Reply.BAD: endings.refused(semantics, False, False),
             Reply.NOT_BEGUN: endings.refused(semantics, True, True),
         }[what]
         self._work(self._costs.call / 2, lambda: self._end(call, errands, outcome))
@@ -296,7 +310,9 @@
         if free and call.id not in self._off:
             return  # called off meanwhile
         for errand in errands:
-            self._put(t.Ended(errand.part, errand.attempt, outcome, now, outcome is Outcome.OK, outcome.value))
+            self._put(
+                t.Ended(errand.part, errand.attempt, outcome, now, outcome is Outcome.OK, outcome.value)
+            )
         if free:
             self._off.pop(call.id, None)
             self._release(call)
--- a/gingervane/emulator/node.py
+++ b/gingervane/emulator/node.py
@@ -32,7 +32,12 @@
     """One node. Records are those of a stand-in on sockets."""
 
     def __init__(
-        self, number: int, model: Model, faults: Iterable[Fault], clock: Clock, record: Callable[..., dict[str, Any]],
+        self,
+        number: int,
+        model: Model,
+        faults: Iterable[Fault],
+        clock: Clock,
+        record: Callable[..., dict[str, Any]],
     ) -> None:
         self.id, self._model, self._clock, self._record = number, model, clock, record
         self.schedule = Schedule(faults, number)
--- a/gingervane/emulator/world.py
+++ b/gingervane/emulator/world.py
@@ -82,12 +82,20 @@
             clock.at(BEGAN + demand.at, lambda d=demand: self._demand(d))  # type: ignore[misc]
         clock.run(BEGAN + scenario.seconds + _AFTER)
         wanted: list[Record] = [
-            {"t": BEGAN + d.at, "kind": "demand", "demand": d.number, "query_class": d.kind.name, "names": d.tiles}
+            {
+                "t": BEGAN + d.at,
+                "kind": "demand",
+                "demand": d.number,
+                "query_class": d.kind.name,
+                "names": d.tiles,
+            }
             for d in asked
         ]
         facts = scenario.facts()
         facts["down"] = {str(n): found for n, found in facts["down"].items()}
-        day = Day(facts, self._director, self._tries, wanted, self._records, self._sends, b"", [], {}, self._told)
+        day = Day(
+            facts, self._director, self._tries, wanted, self._records, self._sends, b"", [], {}, self._told
+        )
         day.by_part = self._by_part
         day.ends = ends_of(self._records)
         return day
@@ -109,8 +117,14 @@
         self._launches += 1
         tap = f"tap-{number}-{self._launches}"
         made = SimCoordinator(
-            number, self.configs[number], self._rng.getrandbits(63), self.clock, self.nodes, self._assumed.net,
-            self._assumed.costs, self._sent,
+            number,
+            self.configs[number],
+            self._rng.getrandbits(63),
+            self.clock,
+            self.nodes,
+            self._assumed.net,
+            self._assumed.costs,
+            self._sent,
         )
         self.coordinators[number] = made
         self._taps[made] = tap
@@ -125,7 +139,12 @@
         zones = self.scenario.nodes.zones
         members = tuple(
             Member(
-                n, f"n{n}", ("node", n), n % len(zones), n, api.ReplicaState(states.get(n, "ready")),
+                n,
+                f"n{n}",
+                ("node", n),
+                n % len(zones),
+                n,
+                api.ReplicaState(states.get(n, "ready")),
                 BEGAN + started[n] if n in started else None,
             )
             for n in range(self.scenario.nodes.count)
@@ -157,7 +176,8 @@
                 elif trouble.kind == "coordinator_stall":
                     for at, size in trouble.stalls():
                         clock.at(
-                            BEGAN + at, lambda n=number, s=size: self.coordinators[n].stall(s)  # type: ignore[misc]
+                            BEGAN + at,
+                            lambda n=number, s=size: self.coordinators[n].stall(s),  # type: ignore[misc]
                         )
 
     def _kill(self, number: int) -> None:
@@ -171,7 +191,8 @@
         """Co-ordinators that clients take for running."""
         roots, now = self.scenario.coordinators.roots, self.clock.now
         return [
-            n for n, made in self.coordinators.items()
+            n
+            for n, made in self.coordinators.items()
             if (not roots or n < roots) and (made.alive or now < self._hidden.get(n, 0.0))
         ]
 
@@ -201,9 +222,19 @@
         patience = limit * (rng.random() if leaves else 1.0)
         made = self.coordinators[chosen]
         record: Record = {
-            "demand": demand.number, "number": number, "coordinator": chosen, "query_class": kind.name,
-            "tiles": demand.tiles, "start": start, "end": start + clients.range_ms, "timeout": limit,
-            "partial": kind.partial, "sent": clock.now, "replies": [], "extra": 0, "kind": "try",
+            "demand": demand.number,
+            "number": number,
+            "coordinator": chosen,
+            "query_class": kind.name,
+            "tiles": demand.tiles,
+            "start": start,
+            "end": start + clients.range_ms,
+            "timeout": limit,
+            "partial": kind.partial,
+            "sent": clock.now,
+            "replies": [],
+            "extra": 0,
+            "kind": "try",
         }
         if not made.alive:
             self._tries.append(record | {"outcome": "unreached", "ended": clock.now})
@@ -247,7 +278,8 @@
 
         weight = 1.0 / len(demand.tiles)
         parts = tuple(
-            t.PartPlan(int(tile[1:]), weight, [tile, start, start + clients.range_ms]) for tile in demand.tiles
+            t.PartPlan(int(tile[1:]), weight, [tile, start, start + clients.range_ms])
+            for tile in demand.tiles
         )
         twin = self._numbers[kind.name] + (1 if kind.partial else 0)
         asked = Asked(kind.name, twin, parts, limit, answer, read)
@@ -279,10 +311,13 @@
     """Play a scenario in simulated time and judge it. Troubles of Consul, the tree and vectors are not modelled yet:
     a scenario that has them raises SettingsError."""
     lacking = [
-        name for name, has in (
-            ("consul", scenario.consul), ("vectors", scenario.vectors),
+        name
+        for name, has in (
+            ("consul", scenario.consul),
+            ("vectors", scenario.vectors),
             ("coordinators.tree", scenario.coordinators.tree),
-        ) if has
+        )
+        if has
     ]
     if lacking:
         raise settings.SettingsError(f"{scenario.name}: {', '.join(lacking)}: not modelled in simulated time")
--- a/gingervane/fronts/client.py
+++ b/gingervane/fronts/client.py
@@ -36,8 +36,11 @@
         body = snappy.compress(remote_read.write_request([remote_read.write_query(q) for q in queries]))
         target = PATH + ("?" + urlencode(params) if params else "")
         fields = [
-            ("Host", f"{self.address[0]}:{self.address[1]}"), ("Content-Type", CONTENT_TYPE),
-            ("Content-Encoding", "snappy"), (VERSION_HEADER, VERSION), ("Content-Length", str(len(body))),
+            ("Host", f"{self.address[0]}:{self.address[1]}"),
+            ("Content-Type", CONTENT_TYPE),
+            ("Content-Encoding", "snappy"),
+            (VERSION_HEADER, VERSION),
+            ("Content-Length", str(len(body))),
         ]
         return http1.head(f"POST {target} HTTP/1.1", fields) + body
 
--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -88,7 +88,9 @@
         self.sock, self.since, self.began = sock, now, now
         self.number = sock.fileno()
         self.kept: object = None  # what its worker keeps between requests
-        self.replied = -inf  # when the request before this one was done with; the first may lie there since ever
+        self.replied = (
+            -inf
+        )  # when the request before this one was done with; the first may lie there since ever
         self.waits_since = 0.0  # when a request began that no thread could be had for; 0: none waits
         self._phase, self._gone, self._until, self._drained = _Phase.RESTING, _nobody, inf, 0
 
@@ -102,7 +104,11 @@
     it says what is to become of it. `turned_away`: what one past the bound is told."""
 
     def __init__(
-        self, listener: socket.socket, bounds: Bounds, work: Callable[[Connection], After], turned_away: bytes,
+        self,
+        listener: socket.socket,
+        bounds: Bounds,
+        work: Callable[[Connection], After],
+        turned_away: bytes,
     ) -> None:
         self._listener, self._bounds, self._work, self._turned_away = listener, bounds, work, turned_away
         listener.setblocking(False)
@@ -396,7 +402,9 @@
             some.pop(one, None)
         del self._open[one.number]
         if one._phase is _Phase.ENDING:
-            with contextlib.suppress(OSError):  # what lies unread at a close has the system reset the connection
+            with contextlib.suppress(
+                OSError
+            ):  # what lies unread at a close has the system reset the connection
                 one.sock.recv(65536)
         one.sock.close()  # which takes it out of the poll too
         if not self._open:
--- a/gingervane/fronts/desk.py
+++ b/gingervane/fronts/desk.py
@@ -93,7 +93,11 @@
 
 
 def refusal(
-    wait: float, why: str, until: float, done: Callable[[], None] = lambda: None, proof: bool = False,
+    wait: float,
+    why: str,
+    until: float,
+    done: Callable[[], None] = lambda: None,
+    proof: bool = False,
 ) -> Reply:
     """503: trying again is harmless, and nothing of the query goes on. `proof`: nothing of it ever began."""
     reply = plain(503, f"refused: {why}", fields=refusal_fields(wait, proof))
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -127,8 +127,10 @@
         self.address: tuple[str, int] = listener.getsockname()[:2]
         fields = [("Retry-After", "1"), ("Connection", "close"), ("Content-Type", "text/plain")]
         self._connections = Connections(
-            listener, Bounds(limits.connections, limits.idle, limits.silent, limits.crowd, limits.quiet),
-            self._work, http1.response(503, fields, b"too many connections\n"),
+            listener,
+            Bounds(limits.connections, limits.idle, limits.silent, limits.crowd, limits.quiet),
+            self._work,
+            http1.response(503, fields, b"too many connections\n"),
         )
         self._stop, self._still = threading.Event(), Standstill(time.monotonic())
         self.wind_down, self.stop_accepting = self._connections.wind_down, self._connections.stop_accepting
@@ -178,7 +180,9 @@
             one.kept = _Reading(timed, http1.Reader(timed.receive, self._limits.message))
         reading, began, replied = one.kept, one.began, one.replied
         try:
-            while (after := self._exchange(one, reading, began, replied)) is After.REST and reading.reader.waiting:
+            while (
+                after := self._exchange(one, reading, began, replied)
+            ) is After.REST and reading.reader.waiting:
                 began = replied = time.monotonic()
             return after
         except (OSError, Closed):
--- a/gingervane/fronts/remote_read.py
+++ b/gingervane/fronts/remote_read.py
@@ -60,8 +60,11 @@
 _NO_TREE = plan.Limits(1 << 30, 16, 1, 1, 16)
 _NO_PEERS = plan.Peers({}, frozenset())
 _VERDICTS = {
-    End.WHOLE: t.Verdict.WHOLE, End.SHORT: t.Verdict.SHORT, End.REFUSED: t.Verdict.REFUSED,
-    End.FAILED: t.Verdict.FAILED, End.LEFT: t.Verdict.LEFT,
+    End.WHOLE: t.Verdict.WHOLE,
+    End.SHORT: t.Verdict.SHORT,
+    End.REFUSED: t.Verdict.REFUSED,
+    End.FAILED: t.Verdict.FAILED,
+    End.LEFT: t.Verdict.LEFT,
 }
 
 
@@ -111,8 +114,16 @@
     """Handles POST /api/v1/read."""
 
     def __init__(
-        self, core: Core, shards: ShardIndex, classes: dict[str, ClassOf], default_class: str,
-        limits: FrontLimits, reply_bytes: int, keep_label: bool, gate: Gate, tree: TreeSetting | None = None,
+        self,
+        core: Core,
+        shards: ShardIndex,
+        classes: dict[str, ClassOf],
+        default_class: str,
+        limits: FrontLimits,
+        reply_bytes: int,
+        keep_label: bool,
+        gate: Gate,
+        tree: TreeSetting | None = None,
     ) -> None:
         self._gate, self._longest = gate, max(kind.deadline for kind in classes.values())
         self._core, self._shards, self._classes, self._default = core, shards, classes, default_class
@@ -128,7 +139,12 @@
         return [Route("POST", PATH, self.handle)]
 
     def handle(
-        self, request: Request, body: bytes, arrived: float, client: http_server.Exchange, words: dict[str, str],
+        self,
+        request: Request,
+        body: bytes,
+        arrived: float,
+        client: http_server.Exchange,
+        words: dict[str, str],
     ) -> Reply:
         """One request from its bytes to its reply."""
         latest = arrived + self._longest
@@ -189,7 +205,9 @@
         limits = self._tree.limits if self._tree else _NO_TREE
         return plan.Task(work.names, left, limits.levels, limits.leaf_attempts)
 
-    def _ask_leaves(self, work: _Work, task: plan.Task, deadline: float, client: http_server.Exchange) -> _Result:
+    def _ask_leaves(
+        self, work: _Work, task: plan.Task, deadline: float, client: http_server.Exchange
+    ) -> _Result:
         """Ask the leaves directly: the module decides all of it. Raises Refused."""
         kind = self._classes[work.params.name]
         if work.orders is None:
@@ -204,11 +222,23 @@
                 self._costs[work.params.name].flat.learn(len(parts), settled.seconds)
         held, used = leaves_of(parts, final, _leaf_content)
         return _Result(
-            final.verdict, held, final.coverage, final.come_again_in, final.why, final.path, used, settled.done
+            final.verdict,
+            held,
+            final.coverage,
+            final.come_again_in,
+            final.why,
+            final.path,
+            used,
+            settled.done,
         )
 
     def _ask_tree(
-        self, work: _Work, task: plan.Task, cut: plan.Plan, tree: TreeSetting, client: http_server.Exchange,
+        self,
+        work: _Work,
+        task: plan.Task,
+        cut: plan.Plan,
+        tree: TreeSetting,
+        client: http_server.Exchange,
     ) -> _Result:
         """Ask through child co-ordinators, and around those that fail."""
         kind, name = self._classes[work.params.name], work.params.name
@@ -217,7 +247,14 @@
         rules = WideRules(kind.semantics, least, collect=work.orders is not None)
         query = WideQuery(task, rules, tree.limits, self._costs[name], cut)
         setting = Setting(
-            self._core, tree.branch, self._exchange, self._branch_exchange, tree.name, name, kind.collect, kind.branch
+            self._core,
+            tree.branch,
+            self._exchange,
+            self._branch_exchange,
+            tree.name,
+            name,
+            kind.collect,
+            kind.branch,
         )
         by_name = dict(zip(work.names, work.parts, strict=True))
         asked = [
@@ -230,7 +267,13 @@
         settled, finish = time.monotonic(), outcome.finish
         verdict = _VERDICTS[finish.end]
         return _Result(
-            verdict, outcome.held, finish.share, finish.come_again_in, outcome.why, outcome.path, finish.used,
+            verdict,
+            outcome.held,
+            finish.share,
+            finish.come_again_in,
+            outcome.why,
+            outcome.path,
+            finish.used,
             lambda: self._desk.learn(name, len(work.parts), settled),
         )
 
@@ -315,11 +358,14 @@
         ]
         if work.orders is not None:
             counts = {
-                name: sum(len(found) for found in by_number.values()) for name, by_number in result.held.items()
+                name: sum(len(found) for found in by_number.values())
+                for name, by_number in result.held.items()
             }
             bitmap, runs = coverage.encode(sorted(work.names), counts)
             fields += [
-                (subtrees.LEAVES, bitmap), (subtrees.COUNTS, runs), (subtrees.USED, str(result.used)),
+                (subtrees.LEAVES, bitmap),
+                (subtrees.COUNTS, runs),
+                (subtrees.USED, str(result.used)),
             ]
         if work.params.path:
             fields.append((PATH_HEADER, bounded([self._step(note) for note in result.path])))
--- a/gingervane/fronts/subtrees.py
+++ b/gingervane/fronts/subtrees.py
@@ -61,15 +61,29 @@
             bodies.append(remote_read.write_query(query._replace(matchers=(*others, mine))))
         body = snappy.compress(remote_read.write_request(bodies, (Accepts.SAMPLES,)))
         milliseconds = max(int(min(seconds_left) * 1000), 1)
-        target = front.PATH + "?" + urlencode({
-            "class": ask.query_class, "timeout": f"{milliseconds}ms", "partial_response": "true",
-        })
+        target = (
+            front.PATH
+            + "?"
+            + urlencode(
+                {
+                    "class": ask.query_class,
+                    "timeout": f"{milliseconds}ms",
+                    "partial_response": "true",
+                }
+            )
+        )
         orders = ask.orders
         fields = [
-            ("Host", f"{address[0]}:{address[1]}"), ("Content-Type", front.CONTENT_TYPE),
-            ("Content-Encoding", "snappy"), (front.VERSION_HEADER, front.VERSION), ("User-Agent", "gingervane"),
-            (LEVELS, str(orders.levels)), (ATTEMPTS, str(orders.attempts)), (TRAIL, ",".join(orders.trail)),
-            (front.TIMEOUT_HEADER, str(milliseconds)), ("Content-Length", str(len(body))),
+            ("Host", f"{address[0]}:{address[1]}"),
+            ("Content-Type", front.CONTENT_TYPE),
+            ("Content-Encoding", "snappy"),
+            (front.VERSION_HEADER, front.VERSION),
+            ("User-Agent", "gingervane"),
+            (LEVELS, str(orders.levels)),
+            (ATTEMPTS, str(orders.attempts)),
+            (TRAIL, ",".join(orders.trail)),
+            (front.TIMEOUT_HEADER, str(milliseconds)),
+            ("Content-Length", str(len(body))),
         ]
         return http1.head(f"POST {target} HTTP/1.1", fields) + body
 
--- a/gingervane/lab/clients.py
+++ b/gingervane/lab/clients.py
@@ -65,7 +65,10 @@
     """Plays demands against the co-ordinators that `targets` names at the moment of each try."""
 
     def __init__(
-        self, scenario: Scenario, recorder: Recorder, bodies: Path,
+        self,
+        scenario: Scenario,
+        recorder: Recorder,
+        bodies: Path,
         targets: Callable[[], list[tuple[int, tuple[str, int]]]],
     ) -> None:
         self._scenario, self._recorder, self._targets = scenario, recorder, targets
@@ -91,7 +94,11 @@
     def _demand(self, demand: Demand) -> None:
         clients, rng = self._scenario.clients, random.Random(demand.seed)
         self._recorder.put(
-            "demand", demand=demand.number, query_class=demand.kind.name, tiles=len(demand.tiles), names=demand.tiles
+            "demand",
+            demand=demand.number,
+            query_class=demand.kind.name,
+            tiles=len(demand.tiles),
+            names=demand.tiles,
         )
         for number in range(clients.retries + 1):
             wait = self._try(demand, number, rng)
@@ -108,9 +115,14 @@
         start = BASE_MS + next(self._tries)
         tiles = "|".join(demand.tiles)
         kind = demand.kind
-        query = Query(start, start + self._scenario.clients.range_ms, (
-            Matcher(Match.EQUAL, "__name__", "wind_speed"), Matcher(Match.REGEX, "tile", tiles),
-        ))
+        query = Query(
+            start,
+            start + self._scenario.clients.range_ms,
+            (
+                Matcher(Match.EQUAL, "__name__", "wind_speed"),
+                Matcher(Match.REGEX, "tile", tiles),
+            ),
+        )
         limit = kind.deadline * (1.0 - rng.random() * (1.0 - self._scenario.clients.try_share))
         params = {"class": kind.name, "timeout": f"{int(limit * 1000)}ms"}
         if kind.partial:
@@ -118,14 +130,26 @@
         leaves = rng.random() < self._scenario.clients.impatient
         data = Client(address).request([query], params)
         record: dict[str, Any] = {
-            "demand": demand.number, "number": number, "coordinator": coordinator, "query_class": kind.name,
-            "tiles": demand.tiles, "start": start, "end": query.end_ms, "timeout": limit, "partial": kind.partial,
+            "demand": demand.number,
+            "number": number,
+            "coordinator": coordinator,
+            "query_class": kind.name,
+            "tiles": demand.tiles,
+            "start": start,
+            "end": query.end_ms,
+            "timeout": limit,
+            "partial": kind.partial,
             "target": urlencode(params),
         }
         return self._exchange(address, data, record, limit * (rng.random() if leaves else 1.0), leaves)
 
     def _exchange(
-        self, address: tuple[str, int], data: bytes, record: dict[str, Any], limit: float, leaves: bool,
+        self,
+        address: tuple[str, int],
+        data: bytes,
+        record: dict[str, Any],
+        limit: float,
+        leaves: bool,
     ) -> float | None:
         connection: Connection | None = None
         record["sent"] = sent = time.monotonic()
@@ -159,8 +183,13 @@
             self._bodies.write(body)
             self._at += len(body)
         self._recorder.put(
-            "try", outcome="reply", status=reply.status, coverage=headers.get(COVERAGE_HEADER.lower()),
-            missing=headers.get(MISSING_HEADER.lower()), retry_after=headers.get("retry-after"), **record,
+            "try",
+            outcome="reply",
+            status=reply.status,
+            coverage=headers.get(COVERAGE_HEADER.lower()),
+            missing=headers.get(MISSING_HEADER.lower()),
+            retry_after=headers.get("retry-after"),
+            **record,
         )
         if reply.status == 200:
             return None
--- a/gingervane/lab/demonstration.py
+++ b/gingervane/lab/demonstration.py
@@ -33,7 +33,7 @@
     while body[at:].strip():
         match = _MATCHER.match(body, at)
         if not match:
-            raise ValueError(f"character {len(name) + 2 + at}: no label=\"value\" here")
+            raise ValueError(f'character {len(name) + 2 + at}: no label="value" here')
         out.append(Matcher(_KINDS[match[2]], match[1], re.sub(r"\\(.)", r"\1", match[3])))
         at = match.end()
         if at < len(body) and body[at] != ",":
@@ -65,7 +65,10 @@
 
 
 def ask(
-    address: tuple[str, int], matchers: tuple[Matcher, ...], span: tuple[int, int], params: dict[str, str],
+    address: tuple[str, int],
+    matchers: tuple[Matcher, ...],
+    span: tuple[int, int],
+    params: dict[str, str],
     timeout: float,
 ) -> int:
     """Ask, and print the answer; 0 if it came, 1 if not."""
@@ -96,7 +99,9 @@
         table.add_row(name, str(len(values)), *ends)
     console.print(table)
     missing = headers.get(MISSING_HEADER.lower())
-    console.print(f"coverage {headers.get(COVERAGE_HEADER.lower())}" + (f", missing {missing}" if missing else ""))
+    console.print(
+        f"coverage {headers.get(COVERAGE_HEADER.lower())}" + (f", missing {missing}" if missing else "")
+    )
     paths = Table("tile", "attempt", "replica", "outcome", "ms", title="Path of each part")
     for step in headers.get(PATH_HEADER.lower()).split(","):
         if step.count("/") == 4:
--- a/gingervane/lab/embedded.py
+++ b/gingervane/lab/embedded.py
@@ -18,7 +18,14 @@
 ZONES = ("hall-a", "hall-b", "hall-c")
 CLASSES: list[dict[str, Any]] = [
     {"name": "point-lookup", "aim": 1.0, "deadline": 4.0, "late_worth": 0.3},
-    {"name": "area-report", "aim": 2.0, "deadline": 4.0, "least_share": 0.75, "late_worth": 0.3, "worth": 2.0},
+    {
+        "name": "area-report",
+        "aim": 2.0,
+        "deadline": 4.0,
+        "least_share": 0.75,
+        "late_worth": 0.3,
+        "worth": 2.0,
+    },
     {"name": "keyed-read", "aim": 1.0, "deadline": 4.0, "semantics": "keyed", "repeat_window": 2.0},
     {"name": "unsafe-read", "aim": 1.0, "deadline": 4.0, "semantics": "unsafe"},
 ]
@@ -39,8 +46,12 @@
 def vectors_table(grid: VectorGrid, list_file: Path) -> dict[str, Any]:
     """Settings of the vector front before a ring of vector nodes."""
     return {
-        "membership": {"file": str(list_file), "interval": 0.05}, "cells": grid.cells, "width": grid.width,
-        "search_class": "point-lookup", "upsert_class": "keyed-read", "add_class": "unsafe-read",
+        "membership": {"file": str(list_file), "interval": 0.05},
+        "cells": grid.cells,
+        "width": grid.width,
+        "search_class": "point-lookup",
+        "upsert_class": "keyed-read",
+        "add_class": "unsafe-read",
         "collection": [c._asdict() for c in grid.collections],
     }
 
@@ -49,9 +60,16 @@
     """A grid, its list file in a folder of its own, and one co-ordinator, all in this process."""
 
     def __init__(
-        self, nodes: int = 6, tiles: int = 12, model: Model = MODEL, overrides: dict[str, Any] | None = None,
-        seed: int | None = 1, coordinators: int = 1, tree: dict[str, Any] | None = None,
-        list_coordinators: bool = True, vectors: VectorGrid | None = None,
+        self,
+        nodes: int = 6,
+        tiles: int = 12,
+        model: Model = MODEL,
+        overrides: dict[str, Any] | None = None,
+        seed: int | None = 1,
+        coordinators: int = 1,
+        tree: dict[str, Any] | None = None,
+        list_coordinators: bool = True,
+        vectors: VectorGrid | None = None,
     ) -> None:
         """`tree`: settings of the tree without `name` and `ring`, for several co-ordinators before one grid.
         `vectors`: nodes of the vector front, which is then closed with the fleet."""
@@ -81,16 +99,25 @@
         self.address = self.app.address
 
     def write_list(
-        self, states: dict[int, str] | None = None, started: dict[int, float] | None = None,
-        coordinators: dict[int, str] | None = None, extra: str = "",
+        self,
+        states: dict[int, str] | None = None,
+        started: dict[int, float] | None = None,
+        coordinators: dict[int, str] | None = None,
+        extra: str = "",
     ) -> None:
         """States of nodes and of co-ordinators that are not ready; `extra`: further rows."""
         rows = [self.grid.list_text(states, started)]
         for number, app in enumerate(self.apps):
             if app.config.tree is not None and self._list_coordinators:
                 row = list_row(
-                    number, f"{app.address[0]}:{app.address[1]}", ZONES[number % len(ZONES)], number,
-                    (coordinators or {}).get(number, "ready"), None, table="coordinator", name=f"c{number}",
+                    number,
+                    f"{app.address[0]}:{app.address[1]}",
+                    ZONES[number % len(ZONES)],
+                    number,
+                    (coordinators or {}).get(number, "ready"),
+                    None,
+                    table="coordinator",
+                    name=f"c{number}",
                 )
                 rows.append(row)
         write_list(self.list_file, "\n".join([*rows, extra]))
@@ -100,8 +127,13 @@
         if self.vectors is not None:
             rows = [
                 list_row(
-                    n.id, f"{n.address[0]}:{n.address[1]}", ZONES[n.id % len(ZONES)], n.id,
-                    (states or {}).get(n.id, "ready"), None, name=f"v{n.id}",
+                    n.id,
+                    f"{n.address[0]}:{n.address[1]}",
+                    ZONES[n.id % len(ZONES)],
+                    n.id,
+                    (states or {}).get(n.id, "ready"),
+                    None,
+                    name=f"v{n.id}",
                 )
                 for n in self.vectors.nodes
             ]
--- a/gingervane/lab/experiment.py
+++ b/gingervane/lab/experiment.py
@@ -118,7 +118,12 @@
 
 def _scale(table: dict[str, Any], factor: float) -> None:
     """Nodes, tiles, co-ordinators and rate together; troubles by share hit as many more."""
-    for section, key in (("nodes", "count"), ("nodes", "tiles"), ("coordinators", "count"), ("clients", "rate")):
+    for section, key in (
+        ("nodes", "count"),
+        ("nodes", "tiles"),
+        ("coordinators", "count"),
+        ("clients", "rate"),
+    ):
         known = table.setdefault(section, {}).get(key)
         if known is not None:
             table[section][key] = known * factor if key == "rate" else max(round(known * factor), 1)
@@ -137,15 +142,30 @@
     try:
         scenario, assumed = apply(job.scenario, json.loads(job.cell), Path(job.experiment))
         scenario = scenario.model_copy(update={"seed": job.seed})
-        report, histograms = _emulated(scenario, assumed) if job.world == "emulator" else _rehearsed(scenario, job)
+        report, histograms = (
+            _emulated(scenario, assumed) if job.world == "emulator" else _rehearsed(scenario, job)
+        )
     except Exception as error:
         took = time.monotonic() - began
         what = f"{type(error).__name__}: {error}"[:2000]
-        return Run(job.experiment, job.cell, job.seed, job.world, job.version, what, False, 0, 0, 0, took, {}, {})
+        return Run(
+            job.experiment, job.cell, job.seed, job.world, job.version, what, False, 0, 0, 0, took, {}, {}
+        )
     worth = report["worth"]
     return Run(
-        job.experiment, job.cell, job.seed, job.world, job.version, "", report["kept"], worth["asked"],
-        worth["served"], worth["bound"], time.monotonic() - began, report, histograms,
+        job.experiment,
+        job.cell,
+        job.seed,
+        job.world,
+        job.version,
+        "",
+        report["kept"],
+        worth["asked"],
+        worth["served"],
+        worth["bound"],
+        time.monotonic() - began,
+        report,
+        histograms,
     )
 
 
@@ -168,7 +188,11 @@
 
 
 def run(
-    found: Experiment, scenario: dict[str, Any], out: Path, world: World, workers: int,
+    found: Experiment,
+    scenario: dict[str, Any],
+    out: Path,
+    world: World,
+    workers: int,
     told: Callable[[int, int, Run | None], None],
 ) -> int:
     """Play what is not in the store yet; how many runs failed. `told`: done, of how many, and the run that ended."""
--- a/gingervane/lab/figures.py
+++ b/gingervane/lab/figures.py
@@ -122,12 +122,21 @@
 def page(name: str, expect: str, runs: Sequence[Run], folder: Path) -> Path:
     """A page of an experiment's tables and charts."""
     worlds = sorted({run.world for run in runs})
-    figures = "figures of the emulator, simulated" if worlds == ["emulator"] else f"figures of {', '.join(worlds)}"
-    text = [f"# {name}", "", f"{figures.capitalize()}; code {', '.join(sorted({run.version for run in runs}))}.", ""]
+    figures = (
+        "figures of the emulator, simulated" if worlds == ["emulator"] else f"figures of {', '.join(worlds)}"
+    )
+    text = [
+        f"# {name}",
+        "",
+        f"{figures.capitalize()}; code {', '.join(sorted({run.version for run in runs}))}.",
+        "",
+    ]
     if expect:
         text += [f"Expected first: {expect}", ""]
     text += [table(runs), ""]
-    text += [f"![{measure}]({path.name})" for measure, path in zip(MEASURES, charts(runs, folder), strict=True)]
+    text += [
+        f"![{measure}]({path.name})" for measure, path in zip(MEASURES, charts(runs, folder), strict=True)
+    ]
     path = folder / "report.md"
     path.write_text("\n".join(text) + "\n")
     return path
@@ -152,8 +161,13 @@
     out = []
     for name, of in MEASURES.items():
         values = [(of(x), of(y)) for x, y in pairs]
-        out.append(Difference(
-            name, len(pairs), float(np.mean([x for x, _ in values])), float(np.mean([y for _, y in values])),
-            interval([y - x for x, y in values]),
-        ))
+        out.append(
+            Difference(
+                name,
+                len(pairs),
+                float(np.mean([x for x, _ in values])),
+                float(np.mean([y for _, y in values])),
+                interval([y - x for x, y in values]),
+            )
+        )
     return out
--- a/gingervane/lab/fromday.py
+++ b/gingervane/lab/fromday.py
@@ -16,9 +16,12 @@
 
 _SAME = {"crash": "crash", "vanish": "vanish", "slow": "slow", "ageing": "ageing", "flapping": "flapping"}
 _UNMAPPED = {
-    "report_late": "replicas here report no load", "false_reports": "replicas here report no load",
-    "heavy_tail": "work here does not differ by query", "peer_down": "co-ordinators here do not talk yet",
-    "one_sided": "all of one machine's loopback is one network", "preempt": "no notice of a stop is given here",
+    "report_late": "replicas here report no load",
+    "false_reports": "replicas here report no load",
+    "heavy_tail": "work here does not differ by query",
+    "peer_down": "co-ordinators here do not talk yet",
+    "one_sided": "all of one machine's loopback is one network",
+    "preempt": "no notice of a stop is given here",
     "retry_abuse": "clients here retry as the day's clients do",
 }
 
@@ -47,42 +50,72 @@
     classes: list[dict[str, Any]] = []
     for c, asks in zip(day["classes"], fam["asks"], strict=True):
         least = max(round(tiles * asks["parts"] / fam["shards"]), 1)
-        classes.append({
-            "name": c["name"], "share": c["share"], "aim": c["aim"] / 1e6, "deadline": c["deadline"] / 1e6,
-            "worth": c["worth"], "late_worth": c["late_worth"], "semantics": c["effect"],
-            "least_share": asks["floor"], "partial": asks["floor"] < 1.0, "tiles": [least, least],
-        } | ({"repeat_window": c["window"] / 1e6} if c["effect"] == "keyed" else {}))
+        classes.append(
+            {
+                "name": c["name"],
+                "share": c["share"],
+                "aim": c["aim"] / 1e6,
+                "deadline": c["deadline"] / 1e6,
+                "worth": c["worth"],
+                "late_worth": c["late_worth"],
+                "semantics": c["effect"],
+                "least_share": asks["floor"],
+                "partial": asks["floor"] < 1.0,
+                "tiles": [least, least],
+            }
+            | ({"repeat_window": c["window"] / 1e6} if c["effect"] == "keyed" else {})
+        )
     mean = sum(c["share"] * c["tiles"][0] for c in classes) / sum(c["share"] for c in classes)
     work = day["traffic"]["load"] * nodes * cores / (rate * mean)
     troubles, unmapped = _troubles(day, squeeze, coordinators)
     seen = day["discovery"]
     return {
-        "name": f"{day['site']}-{day['kind']}", "seed": day["noise"] % (1 << 31), "seconds": length * squeeze,
+        "name": f"{day['site']}-{day['kind']}",
+        "seed": day["noise"] % (1 << 31),
+        "seconds": length * squeeze,
         "nodes": {
-            "count": nodes, "tiles": tiles, "width": min(fam["replicas"], nodes), "zones": zones, "cores": cores,
-            "work": work, "call_work": work * 0.05, "queue": kind["queue"],
-            "start_capacity": kind["cold_from"], "ramp_time": max(kind["cold"] / 1e6 * squeeze, 1.0),
-            "fall_multiple": day["fall_multiple"], "fall_time": day["fall_for"] / 1e6,
+            "count": nodes,
+            "tiles": tiles,
+            "width": min(fam["replicas"], nodes),
+            "zones": zones,
+            "cores": cores,
+            "work": work,
+            "call_work": work * 0.05,
+            "queue": kind["queue"],
+            "start_capacity": kind["cold_from"],
+            "ramp_time": max(kind["cold"] / 1e6 * squeeze, 1.0),
+            "fall_multiple": day["fall_multiple"],
+            "fall_time": day["fall_for"] / 1e6,
         },
         "list": {
-            "notice": seen["notice"] / 1e6, "silent_notice": seen["silent_notice"] / 1e6, "add": seen["add"] / 1e6,
+            "notice": seen["notice"] / 1e6,
+            "silent_notice": seen["silent_notice"] / 1e6,
+            "add": seen["add"] / 1e6,
             "grace": day["drain_grace"] / 1e6,
         },
         "coordinators": {
-            "count": min(coordinators, len(day["balancers"])), "notice": day["front_notice"] / 1e6,
+            "count": min(coordinators, len(day["balancers"])),
+            "notice": day["front_notice"] / 1e6,
             "limits": {"most_attempts": allow["max_attempts"], "parts_per_call": max(fam["batch"], 1)},
         },
         "clients": {
-            "rate": rate, "retries": day["clients"]["retries"], "backoff": day["clients"]["backoff_us"] / 1e6,
-            "honour": day["clients"]["honour"], "try_share": day["clients"]["try_share"],
+            "rate": rate,
+            "retries": day["clients"]["retries"],
+            "backoff": day["clients"]["backoff_us"] / 1e6,
+            "honour": day["clients"]["honour"],
+            "try_share": day["clients"]["try_share"],
             "impatient": day["clients"]["impatient"],
         },
-        "class": classes, "trouble": troubles, "unmapped": unmapped,
+        "class": classes,
+        "trouble": troubles,
+        "unmapped": unmapped,
     }
 
 
 def _troubles(
-    day: dict[str, Any], squeeze: float, coordinators: int,
+    day: dict[str, Any],
+    squeeze: float,
+    coordinators: int,
 ) -> tuple[list[dict[str, Any]], list[str]]:
     out: list[dict[str, Any]] = []
     unmapped: list[str] = []
@@ -91,7 +124,8 @@
         kind, size = trouble["kind"], trouble["size"]
         on: list[int] = trouble["on"]
         base: dict[str, Any] = {
-            "at": trouble["at"] / 1e6 * squeeze, "seconds": max(trouble["len"] / 1e6 * squeeze, 0.1),
+            "at": trouble["at"] / 1e6 * squeeze,
+            "seconds": max(trouble["len"] / 1e6 * squeeze, 0.1),
             "share": min(len(on) / servers, 1.0),
         }
         ours = sorted({n * coordinators // balancers for n in on if n < balancers})
@@ -118,10 +152,15 @@
             out.append(base | {"kind": "zone_loss", "zone": zone, "share": 0.0})
         elif kind in ("balancer_crash", "balancer_stall"):
             mine = "coordinator_kill" if kind == "balancer_crash" else "coordinator_stall"
-            out.append(base | {
-                "kind": mine, "coordinators": ours[: max(coordinators - 1, 1)], "share": 0.0,
-                "size": max(size, 1.0) / 1000 if kind == "balancer_stall" else 1.0,
-            })
+            out.append(
+                base
+                | {
+                    "kind": mine,
+                    "coordinators": ours[: max(coordinators - 1, 1)],
+                    "share": 0.0,
+                    "size": max(size, 1.0) / 1000 if kind == "balancer_stall" else 1.0,
+                }
+            )
         else:
             unmapped.append(f"{kind}: {_UNMAPPED.get(kind, 'no twin here')}")
     return out, unmapped
--- a/gingervane/lab/listing.py
+++ b/gingervane/lab/listing.py
@@ -37,8 +37,11 @@
 
     def write(self, nodes: list[Row], coordinators: list[Row]) -> None:
         rows = [
-            list_row(r.number, f"{r.address[0]}:{r.address[1]}", r.zone, r.cell, r.state, r.started, table, r.name)
-            for table, found in (("node", nodes), ("coordinator", coordinators)) for r in found
+            list_row(
+                r.number, f"{r.address[0]}:{r.address[1]}", r.zone, r.cell, r.state, r.started, table, r.name
+            )
+            for table, found in (("node", nodes), ("coordinator", coordinators))
+            for r in found
         ]
         write_list(self._path, "\n".join(rows))
 
@@ -80,10 +83,20 @@
         meta = {"zone": row.zone, "cell": str(row.cell), "gingervane-id": str(row.number)}
         meta |= {"started": f"{row.started:.3f}"} if row.started is not None else {}
         meta |= {"drain": "true"} if marked else {}
-        self._put("service/register", {
-            "ID": row.name, "Name": self._service, "Address": row.address[0], "Port": row.address[1], "Meta": meta,
-            "Check": {"CheckID": f"service:{row.name}", "Status": "critical" if row.state == "gone" else "passing"},
-        })
+        self._put(
+            "service/register",
+            {
+                "ID": row.name,
+                "Name": self._service,
+                "Address": row.address[0],
+                "Port": row.address[1],
+                "Meta": meta,
+                "Check": {
+                    "CheckID": f"service:{row.name}",
+                    "Status": "critical" if row.state == "gone" else "passing",
+                },
+            },
+        )
 
     def _put(self, path: str, content: Any) -> None:
         self._call(self._agent, f"/v1/agent/{path}", content)
--- a/gingervane/lab/rehearse.py
+++ b/gingervane/lab/rehearse.py
@@ -29,7 +29,9 @@
 from gingervane.standins.node import Recorder
 
 _SERVICE = "grid"  # the nodes' in Consul
-_START = 6.0  # seconds ahead of the day within which all must be up and warm, on a machine that is slow to start
+_START = (
+    6.0  # seconds ahead of the day within which all must be up and warm, on a machine that is slow to start
+)
 
 
 class RehearsalError(Exception):
@@ -42,7 +44,10 @@
     def __init__(self, command: list[str], log: Path, keep_stdin: bool = False) -> None:
         self._log, self._name = log.open("ab"), " ".join(command)
         self.child = subprocess.Popen(
-            command, stdout=subprocess.PIPE, stderr=self._log, stdin=subprocess.PIPE if keep_stdin else None,
+            command,
+            stdout=subprocess.PIPE,
+            stderr=self._log,
+            stdin=subprocess.PIPE if keep_stdin else None,
         )
         self._lines: queue.SimpleQueue[str] = queue.SimpleQueue()
         assert self.child.stdout is not None
@@ -95,7 +100,9 @@
         self._hidden: dict[int, float] = {}  # killed: until when clients still go there
         self._launches = 0
         self._states: dict[int, str] = {}  # of co-ordinators that are listed, not ready
-        self._listed: dict[int, tuple[tuple[str, int], float]] = {}  # co-ordinators: address, Unix time of start
+        self._listed: dict[
+            int, tuple[tuple[str, int], float]
+        ] = {}  # co-ordinators: address, Unix time of start
         self._nodes: tuple[list[int], float, dict[int, str], dict[int, float]] = ([], 0.0, {}, {})
         self._began = 0.0
         self._lock = threading.Lock()
@@ -166,8 +173,11 @@
     def _start_nodes(self, began: float) -> list[_Process]:
         nodes = self.scenario.nodes
         orders = {
-            "nodes": nodes.count, "tiles": nodes.tiles,
-            "zones": nodes.zones, "width": nodes.width, "model": list(nodes.model()),
+            "nodes": nodes.count,
+            "tiles": nodes.tiles,
+            "zones": nodes.zones,
+            "width": nodes.width,
+            "model": list(nodes.model()),
             "faults": {n: [vars(f) for f in found] for n, found in self.scenario.faults(began).items()},
         }
         out = []
@@ -214,7 +224,8 @@
         if self.scenario.consul is None:
             return {"file": str(self.out / "servers.toml"), "interval": self.scenario.listing.interval}
         consul: dict[str, Any] = {
-            "agents": [f"{host}:{port}" for host, port in self._agents], "service": _SERVICE,
+            "agents": [f"{host}:{port}" for host, port in self._agents],
+            "service": _SERVICE,
             "wait": self.scenario.consul.wait,
         }
         if self.scenario.coordinators.tree:
@@ -268,13 +279,19 @@
         now, roots = time.monotonic(), self.scenario.coordinators.roots
         with self._lock:
             return [
-                (number, address) for number, address in self._addresses.items()
+                (number, address)
+                for number, address in self._addresses.items()
                 if (not roots or number < roots)
                 and (number in self._coordinators or now < self._hidden.get(number, 0.0))
             ]
 
     def _list(
-        self, ports: list[int], at: float, states: dict[int, str], started: dict[int, float], director: Recorder,
+        self,
+        ports: list[int],
+        at: float,
+        states: dict[int, str],
+        started: dict[int, float],
+        director: Recorder,
         began: float,
     ) -> None:
         """Say of the nodes what the scenario has at a moment of the day."""
@@ -288,7 +305,12 @@
             ports, at, states, started = self._nodes
             nodes = [
                 Row(
-                    n, f"n{n}", ("127.0.0.1", port), zones[n % len(zones)], n, states.get(n, "ready"),
+                    n,
+                    f"n{n}",
+                    ("127.0.0.1", port),
+                    zones[n % len(zones)],
+                    n,
+                    states.get(n, "ready"),
                     self._began + started[n] + offset if n in started else None,
                 )
                 for n, port in enumerate(ports)
--- a/gingervane/lab/report.py
+++ b/gingervane/lab/report.py
@@ -14,8 +14,11 @@
     rules = Table("rule", "kept", "tested", "nearest miss", "breaches", title=f"Rules on {report['name']}")
     for name, verdict in report["rules"].items():
         rules.add_row(
-            name, "yes" if verdict["kept"] else "[red]BROKEN[/red]", str(verdict["tested"]),
-            f"{verdict['nearest']:.2f}", "\n".join(verdict["what"]),
+            name,
+            "yes" if verdict["kept"] else "[red]BROKEN[/red]",
+            str(verdict["tested"]),
+            f"{verdict['nearest']:.2f}",
+            "\n".join(verdict["what"]),
         )
     console.print(rules)
     worth = report["worth"]
--- a/gingervane/lab/saboteur.py
+++ b/gingervane/lab/saboteur.py
@@ -38,9 +38,11 @@
 
 def duplicate() -> None:
     """Every class is taken to be safe to repeat."""
-    _settings(lambda s: s._replace(classes=tuple(
-        c._replace(semantics=api.Semantics.SAFE, repeat_window=None) for c in s.classes
-    )))
+    _settings(
+        lambda s: s._replace(
+            classes=tuple(c._replace(semantics=api.Semantics.SAFE, repeat_window=None) for c in s.classes)
+        )
+    )
 
 
 def drain() -> None:
@@ -81,7 +83,11 @@
 
     def lie(self: RemoteReadFront, *args: Any) -> Any:
         reply = answer(self, *args)
-        fields = [(k, "1" if k == "Gingervane-Coverage" else v) for k, v in reply.fields if k != "Gingervane-Missing"]
+        fields = [
+            (k, "1" if k == "Gingervane-Coverage" else v)
+            for k, v in reply.fields
+            if k != "Gingervane-Missing"
+        ]
         return reply._replace(fields=fields)
 
     RemoteReadFront._answer = lie  # type: ignore[method-assign, assignment]
--- a/gingervane/lab/scenario.py
+++ b/gingervane/lab/scenario.py
@@ -43,8 +43,16 @@
     fall_time: Seconds = 1.5
 
     def model(self) -> Model:
-        return Model(self.cores, self.work, self.call_work, self.queue, self.start_capacity, self.ramp_time,
-                     self.fall_multiple, self.fall_time)
+        return Model(
+            self.cores,
+            self.work,
+            self.call_work,
+            self.queue,
+            self.start_capacity,
+            self.ramp_time,
+            self.fall_multiple,
+            self.fall_time,
+        )
 
 
 class Listing(Table):
@@ -83,7 +91,9 @@
     quorum: Annotated[int, Field(gt=0, le=9)] = 2
     dims: Annotated[int, Field(gt=0, le=2000)] = 8
     window: Seconds = 6.0  # in which nodes drop repeats of a key
-    fixed: Annotated[int, Field(gt=0, le=20000)] = 600  # points that are loaded before the day and never written to
+    fixed: Annotated[int, Field(gt=0, le=20000)] = (
+        600  # points that are loaded before the day and never written to
+    )
     upserts: Annotated[float, Field(gt=0, le=2000)] = 60.0
     adds: Annotated[float, Field(gt=0, le=2000)] = 30.0
     searches: Annotated[float, Field(gt=0, le=2000)] = 10.0
@@ -132,7 +142,6 @@
             raise ValueError(f"kind: {self.kind!r} is not one of {', '.join(sorted([*KINDS, *OWN_KINDS]))}")
         return self
 
-
     def stalls(self) -> Iterator[tuple[float, float]]:
         """Of a co-ordinator that is stopped again and again: from when, and for how long."""
         at, size = self.at, min(self.size, 2.0)
@@ -184,21 +193,37 @@
             return tuple(n for n in range(count) if zones[n % len(zones)] == trouble.zone)
         if trouble.kind in OWN_KINDS - {"drain"}:
             return ()
-        chosen = random.Random(f"{self.seed}/{index}").sample(range(count), max(round(trouble.share * count), 1))
+        chosen = random.Random(f"{self.seed}/{index}").sample(
+            range(count), max(round(trouble.share * count), 1)
+        )
         return tuple(sorted(chosen))
 
     def coordinator_table(
-        self, number: int, membership: dict[str, Any], log: dict[str, Any],
+        self,
+        number: int,
+        membership: dict[str, Any],
+        log: dict[str, Any],
     ) -> dict[str, Any]:
         """One co-ordinator's settings, but for a tree or vectors."""
         nodes, own = self.nodes, self.coordinators
         tiles = [f"t{i:03d}" for i in range(nodes.tiles)]
         ground = Ground(
-            tiles, nodes.count, nodes.width, nodes.zones, nodes.start_capacity, nodes.ramp_time, nodes.fall_time
+            tiles,
+            nodes.count,
+            nodes.width,
+            nodes.zones,
+            nodes.start_capacity,
+            nodes.ramp_time,
+            nodes.fall_time,
         )
         table = coordinator_table(
-            ground, nodes.zones[number % len(nodes.zones)], own.count, membership, self._class_tables(),
-            (own.budget_free, own.budget_share, own.budget_span), log,
+            ground,
+            nodes.zones[number % len(nodes.zones)],
+            own.count,
+            membership,
+            self._class_tables(),
+            (own.budget_free, own.budget_share, own.budget_span),
+            log,
         )
         return table | {"limits": own.limits}
 
@@ -206,7 +231,8 @@
         """The classes as a co-ordinator's settings have them."""
         return [
             {
-                key: value for key, value in c.model_dump(mode="json").items()
+                key: value
+                for key, value in c.model_dump(mode="json").items()
                 if key not in ("share", "tiles", "partial") and value is not None
             }
             for c in self.classes
@@ -265,25 +291,31 @@
                     out.append((fault.start, fault.end))
         return out
 
-
     def facts(self) -> dict[str, Any]:
         """What an audit must know beforehand."""
         nodes, own = self.nodes, self.coordinators
         return {
-            "name": self.name, "nodes": nodes.count, "width": nodes.width, "model": nodes.model()._asdict(),
-            "classes": {c.name: c.model_dump(mode="json") for c in self.classes}, "grace": self.listing.grace,
+            "name": self.name,
+            "nodes": nodes.count,
+            "width": nodes.width,
+            "model": nodes.model()._asdict(),
+            "classes": {c.name: c.model_dump(mode="json") for c in self.classes},
+            "grace": self.listing.grace,
             "budget": {"free": own.budget_free, "share": own.budget_share, "span": own.budget_span},
             "vectors": self.vectors.model_dump() if self.vectors else None,
             "consul_agents": self.consul.agents if self.consul else 0,
             "agent_faults": [[agent, t.at, t.at + t.seconds] for t in self.troubles for agent in t.agents],
-            "down": {n: down for n in range(nodes.count) if (down := self.down(n))}, "unmapped": self.unmapped,
+            "down": {n: down for n in range(nodes.count) if (down := self.down(n))},
+            "unmapped": self.unmapped,
         }
 
 
 def names() -> list[str]:
     """Scenarios that ship with the package."""
     folder = resources.files("gingervane.lab") / "scenarios"
-    return sorted(entry.name.removesuffix(".toml") for entry in folder.iterdir() if entry.name.endswith(".toml"))
+    return sorted(
+        entry.name.removesuffix(".toml") for entry in folder.iterdir() if entry.name.endswith(".toml")
+    )
 
 
 def load(name: str) -> Scenario:
--- a/gingervane/lab/tables.py
+++ b/gingervane/lab/tables.py
@@ -20,17 +20,29 @@
 
 
 def coordinator_table(
-    ground: Ground, zone: str, coordinators: int, membership: dict[str, Any], classes: Sequence[dict[str, Any]],
-    budget: tuple[float, float, float], log: dict[str, Any],
+    ground: Ground,
+    zone: str,
+    coordinators: int,
+    membership: dict[str, Any],
+    classes: Sequence[dict[str, Any]],
+    budget: tuple[float, float, float],
+    log: dict[str, Any],
 ) -> dict[str, Any]:
     """Settings of one co-ordinator. `budget`: free, share, span."""
     return {
-        "shards": {"label": "tile", "names": list(ground.tiles), "cells": ground.cells, "width": ground.width},
+        "shards": {
+            "label": "tile",
+            "names": list(ground.tiles),
+            "cells": ground.cells,
+            "width": ground.width,
+        },
         "fleet": {"coordinators": coordinators, "zones": list(ground.zones), "zone": zone},
         "membership": membership,
         "class": list(classes),
         "replicas": {
-            "start_capacity": ground.start_capacity, "ramp_time": ground.ramp_time, "fall_time": ground.fall_time,
+            "start_capacity": ground.start_capacity,
+            "ramp_time": ground.ramp_time,
+            "fall_time": ground.fall_time,
         },
         "budget": dict(zip(("free", "share", "span"), budget, strict=True)),
         "log": log,
--- a/gingervane/lab/vector_day.py
+++ b/gingervane/lab/vector_day.py
@@ -52,20 +52,36 @@
     def command(self, began: float) -> list[str]:
         day, path = self.day, self._out / "orders-vectors.json"
         collections = [[name, day.dims, "Cosine"] for name in (FIXED, MOVING)]
-        path.write_text(json.dumps({
-            "nodes": day.nodes, "collections": collections, "width": day.width, "window": day.window,
-            "model": list(self._scenario.nodes.model()), "records": str(self._out / "vectors.jsonl"),
-            "faults": {n: [vars(f) for f in found] for n, found in self._scenario.vector_faults(began).items()},
-        }))
+        path.write_text(
+            json.dumps(
+                {
+                    "nodes": day.nodes,
+                    "collections": collections,
+                    "width": day.width,
+                    "window": day.window,
+                    "model": list(self._scenario.nodes.model()),
+                    "records": str(self._out / "vectors.jsonl"),
+                    "faults": {
+                        n: [vars(f) for f in found]
+                        for n, found in self._scenario.vector_faults(began).items()
+                    },
+                }
+            )
+        )
         return [sys.executable, "-m", "gingervane.standins.vectors", str(path)]
 
     def table(self, number: int) -> dict[str, Any]:
         """Settings of one co-ordinator; its classes must be named as here."""
         day = self.day
         return {
-            "membership": {"file": str(self._out / "vectors.toml"), "interval": 0.05}, "cells": day.nodes,
-            "width": day.width, "quorum": day.quorum, "search_class": "vector-search",
-            "upsert_class": "vector-upsert", "add_class": "vector-add", "repair_sweep": 20.0,
+            "membership": {"file": str(self._out / "vectors.toml"), "interval": 0.05},
+            "cells": day.nodes,
+            "width": day.width,
+            "quorum": day.quorum,
+            "search_class": "vector-search",
+            "upsert_class": "vector-upsert",
+            "add_class": "vector-add",
+            "repair_sweep": 20.0,
             "intents": str(self._out / f"intents-{number}"),
             "collection": [{"name": name, "dims": day.dims} for name in (FIXED, MOVING)],
         }
@@ -114,7 +130,9 @@
         body = b"" if content is None else orjson.dumps(content)
         fields = [("Host", "node"), ("Content-Length", str(len(body)))]
         data = http1.head(f"{method} {target} HTTP/1.1", fields) + body
-        status, _, reply = exchange(self._pool, ("127.0.0.1", self.ports[node]), data, time.monotonic() + 20.0)
+        status, _, reply = exchange(
+            self._pool, ("127.0.0.1", self.ports[node]), data, time.monotonic() + 20.0
+        )
         if status != 200:
             raise OSError(f"{target}: {status}")
         return orjson.loads(reply)["result"]
@@ -126,7 +144,10 @@
     def __init__(self, scenario: Scenario, recorder: Recorder, targets: Targets) -> None:
         assert scenario.vectors is not None
         self._day, self._seconds, self._recorder, self._targets = (
-            scenario.vectors, scenario.seconds, recorder, targets
+            scenario.vectors,
+            scenario.seconds,
+            recorder,
+            targets,
         )
         self._rng = random.Random(scenario.seed + 1)
         self._pool = Pool(_LIMITS, 256, 20.0)
@@ -157,20 +178,37 @@
         until = time.monotonic() + self._day.window / 2
         for attempt in range(self._day.tries):
             status = self._try(
-                "PUT", f"{MOVING}/points", {"points": points}, rng, {"key": f"k{number}"}, kind="upsert",
-                demand=number, number=attempt, points=ids,
+                "PUT",
+                f"{MOVING}/points",
+                {"points": points},
+                rng,
+                {"key": f"k{number}"},
+                kind="upsert",
+                demand=number,
+                number=attempt,
+                points=ids,
             )
             if status in (200, 409, 422) or time.monotonic() > until:
                 return
             time.sleep(self._day.backoff * rng.uniform(0.5, 1.5))
 
     def _add(self, number: int, rng: random.Random) -> None:
-        point = rng.randrange(self._day.fixed)  # of the moving collection, where few of them are points at all
+        point = rng.randrange(
+            self._day.fixed
+        )  # of the moving collection, where few of them are points at all
         for attempt in range(self._day.tries):
             name = f"d{number}t{attempt}"
             status = self._try(
-                "POST", f"{MOVING}/points/payload?increment=true", {"payload": {name: 1}, "points": [4 * point]}, rng,
-                {}, kind="add", demand=number, number=attempt, points=[4 * point], name=name,
+                "POST",
+                f"{MOVING}/points/payload?increment=true",
+                {"payload": {name: 1}, "points": [4 * point]},
+                rng,
+                {},
+                kind="add",
+                demand=number,
+                number=attempt,
+                points=[4 * point],
+                name=name,
             )
             if status != 503:
                 return
@@ -180,12 +218,26 @@
         vector = [round(rng.gauss(0, 1), 3) for _ in range(self._day.dims)]
         limit = rng.choice((1, 10, 100))
         self._try(
-            "POST", f"{FIXED}/points/search?partial_response=1", {"vector": vector, "limit": limit}, rng, {},
-            kind="search", demand=number, number=0, vector=vector, limit=limit,
+            "POST",
+            f"{FIXED}/points/search?partial_response=1",
+            {"vector": vector, "limit": limit},
+            rng,
+            {},
+            kind="search",
+            demand=number,
+            number=0,
+            vector=vector,
+            limit=limit,
         )
 
     def _try(
-        self, method: str, path: str, content: Any, rng: random.Random, keys: dict[str, str], **note: Any,
+        self,
+        method: str,
+        path: str,
+        content: Any,
+        rng: random.Random,
+        keys: dict[str, str],
+        **note: Any,
     ) -> int:
         """One try; its status, 0 if there was no reply."""
         targets = self._targets()
@@ -211,9 +263,18 @@
         if status == 200 and is_search:
             ids = [[point["id"], point["score"]] for point in orjson.loads(reply)["result"]]
         self._recorder.put(
-            "vector_try", kind_of=note.pop("kind"), coordinator=coordinator, status=status, sent=sent,
-            ended=time.monotonic(), timeout=timeout, done=headers.get("gingervane-holders-done"),
-            missing=headers.get("gingervane-missing"), found=ids, why=why, **note,
+            "vector_try",
+            kind_of=note.pop("kind"),
+            coordinator=coordinator,
+            status=status,
+            sent=sent,
+            ended=time.monotonic(),
+            timeout=timeout,
+            done=headers.get("gingervane-holders-done"),
+            missing=headers.get("gingervane-missing"),
+            found=ids,
+            why=why,
+            **note,
         )
         return status
 
--- a/gingervane/membership/consul.py
+++ b/gingervane/membership/consul.py
@@ -89,7 +89,9 @@
                 faults.append(f"[{index}]: {what[:200]}")
                 continue
             if member.id in members and members[member.id].name != member.name:
-                faults.append(f"[{index}]: id {member.id} of {member.name!r} is {members[member.id].name!r}'s")
+                faults.append(
+                    f"[{index}]: id {member.id} of {member.name!r} is {members[member.id].name!r}'s"
+                )
                 continue
             members[member.id] = member
             read[name] = entry, member
@@ -138,10 +140,17 @@
     statuses = {check["Status"] for check in checks}
     if unknown := statuses - {"passing", "warning", "critical", "maintenance"}:
         raise ValueError(f"Checks.Status: {min(unknown)!r}")
-    maintenance = any(str(check.get("CheckID", "")).startswith(("_service_maintenance", "_node_maintenance"))
-                      for check in checks)
+    maintenance = any(
+        str(check.get("CheckID", "")).startswith(("_service_maintenance", "_node_maintenance"))
+        for check in checks
+    )
     marked = str(meta.get(names.drain, "")).lower() in ("true", "1", "yes")
-    if maintenance or "maintenance" in statuses or marked or names.drain_tag in (entry["Service"].get("Tags") or []):
+    if (
+        maintenance
+        or "maintenance" in statuses
+        or marked
+        or names.drain_tag in (entry["Service"].get("Tags") or [])
+    ):
         return api.ReplicaState.DRAINING
     return api.ReplicaState.GONE if "critical" in statuses else api.ReplicaState.READY
 
--- a/gingervane/membership/durable.py
+++ b/gingervane/membership/durable.py
@@ -43,12 +43,19 @@
         self._store.close()
 
     def save(
-        self, members: tuple[Member, ...], merge: dict[str, Any] | None = None, view: dict[str, Any] | None = None,
+        self,
+        members: tuple[Member, ...],
+        merge: dict[str, Any] | None = None,
+        view: dict[str, Any] | None = None,
     ) -> None:
         """Raises StoreError, or OSError; what was kept before then stands."""
         body = {
-            "at": time.time(), "boot": list(clock.moment()), "offset": self._offset,
-            "rows": _rows(members, self._offset), "merge": merge, "view": view,
+            "at": time.time(),
+            "boot": list(clock.moment()),
+            "offset": self._offset,
+            "rows": _rows(members, self._offset),
+            "merge": merge,
+            "view": view,
         }
         self._store.save(json.dumps(body, separators=(",", ":")).encode())
 
@@ -74,18 +81,27 @@
         try:
             age, offset = self._age(body)
             members = tuple(
-                Member(number, name, (host, port), zone, cell, api.ReplicaState(state),
-                       None if started is None else started + offset, *created)
+                Member(
+                    number,
+                    name,
+                    (host, port),
+                    zone,
+                    cell,
+                    api.ReplicaState(state),
+                    None if started is None else started + offset,
+                    *created,
+                )
                 for number, name, host, port, zone, cell, state, started, *created in body["rows"]
             )
             kept = Kept(members, age, offset, body.get("merge"), body.get("view"))
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             raise StoreError(f"{path}: a row does not make sense: {error}") from None
-        if not members or any(not 0 <= m.zone < self._zones or not 0 <= m.cell < self._cells for m in members):
+        if not members or any(
+            not 0 <= m.zone < self._zones or not 0 <= m.cell < self._cells for m in members
+        ):
             raise StoreError(f"{path}: kept under other settings of zones or cells")
         return kept
 
-
     def _age(self, body: Any) -> tuple[float, float]:
         """How old a kept list is, and the offset of its times.
 
@@ -102,8 +118,17 @@
 
 def _rows(members: tuple[Member, ...], offset: float) -> list[list[Any]]:
     return [
-        [m.id, m.name, m.address[0], m.address[1], m.zone, m.cell, m.state.value,
-         None if m.started_at is None else m.started_at - offset, m.created]
+        [
+            m.id,
+            m.name,
+            m.address[0],
+            m.address[1],
+            m.zone,
+            m.cell,
+            m.state.value,
+            None if m.started_at is None else m.started_at - offset,
+            m.created,
+        ]
         for m in members
     ]
 
--- a/gingervane/membership/listfile.py
+++ b/gingervane/membership/listfile.py
@@ -49,7 +49,9 @@
     except tomllib.TOMLDecodeError as error:
         raise ListError(str(error)) from None
     known = ("node", "coordinator")
-    faults = [f"{key}: not a known table ([[node]] and [[coordinator]] are)" for key in table if key not in known]
+    faults = [
+        f"{key}: not a known table ([[node]] and [[coordinator]] are)" for key in table if key not in known
+    ]
     nodes = _members(table.get("node", []), "node", zones, cells, offset, faults)
     coordinators = _members(table.get("coordinator", []), "coordinator", zones, ring, offset, faults)
     if not nodes and not faults:
@@ -61,7 +63,12 @@
 
 
 def _members(
-    rows: Any, table: str, zones: tuple[str, ...], cells: int, offset: float, faults: list[str],
+    rows: Any,
+    table: str,
+    zones: tuple[str, ...],
+    cells: int,
+    offset: float,
+    faults: list[str],
 ) -> tuple[Member, ...]:
     members: list[Member] = []
     places: list[int] = []  # of each member's row
@@ -84,7 +91,9 @@
     return tuple(members)
 
 
-def _read(row: dict[str, Any], where: str, zones: tuple[str, ...], cells: int, offset: float) -> Member | list[str]:
+def _read(
+    row: dict[str, Any], where: str, zones: tuple[str, ...], cells: int, offset: float
+) -> Member | list[str]:
     faults = [f"{where}.{key}: not a known key" for key in row if key not in _KEYS]
 
     def check(key: str, ok: bool, what: str) -> None:
@@ -105,8 +114,13 @@
     if faults:
         return faults
     return Member(
-        row["id"], name, (host.strip("[]"), int(port)), zones.index(row["zone"]), row["cell"],
-        api.ReplicaState(state), None if started is None else started + offset,
+        row["id"],
+        name,
+        (host.strip("[]"), int(port)),
+        zones.index(row["zone"]),
+        row["cell"],
+        api.ReplicaState(state),
+        None if started is None else started + offset,
     )
 
 
@@ -114,8 +128,15 @@
     """Reads the list at once, and again whenever the file changes."""
 
     def __init__(
-        self, path: Path, zones: tuple[str, ...], cells: int, ring: int, interval: float, offset: float,
-        report: Callable[[Lists], None], complain: Callable[[str], None],
+        self,
+        path: Path,
+        zones: tuple[str, ...],
+        cells: int,
+        ring: int,
+        interval: float,
+        offset: float,
+        report: Callable[[Lists], None],
+        complain: Callable[[str], None],
     ) -> None:
         """`report` takes each good list, on the watcher's thread but for the first."""
         self._path, self._zones, self._cells, self._ring = path, zones, cells, ring
--- a/gingervane/membership/merge.py
+++ b/gingervane/membership/merge.py
@@ -184,7 +184,8 @@
                 ends = [entry.missing_since + self._fence.flap_span]
                 if entry.fenced:
                     ends += (
-                        entry.missing_since + self._fence.hold, entry.missing_since + self._fence.hold_most,
+                        entry.missing_since + self._fence.hold,
+                        entry.missing_since + self._fence.hold_most,
                         server.answered + self._fence.evidence,
                     )
                 due = min([due, *(end for end in ends if end > now)])
@@ -197,18 +198,26 @@
             servers[str(number)] = {
                 "entries": {
                     source: [
-                        *entry.member[:5], entry.member.state.value, entry.member.started_at, now - entry.at,
-                        _age(now, entry.missing_since), entry.fenced, entry.member.created,
+                        *entry.member[:5],
+                        entry.member.state.value,
+                        entry.member.started_at,
+                        now - entry.at,
+                        _age(now, entry.missing_since),
+                        entry.fenced,
+                        entry.member.created,
                         None if entry.renewed is None else now - entry.renewed,
                     ]
                     for source, entry in server.entries.items()
                 },
-                "away": server.away, "ready_in": server.ready_from - now,
+                "away": server.away,
+                "ready_in": server.ready_from - now,
                 "returns": [now - at for at in server.returns],
             }
         return {
-            "now": now, "last": {n: _age(now, s.last) for n, s in self._sources.items()},
-            "index": {n: s.index for n, s in self._sources.items()}, "servers": servers,
+            "now": now,
+            "last": {n: _age(now, s.last) for n, s in self._sources.items()},
+            "index": {n: s.index for n, s in self._sources.items()},
+            "servers": servers,
         }
 
     def restore(self, kept: dict[str, Any], now: float, elapsed: float) -> None:
@@ -220,7 +229,11 @@
         then = now - elapsed  # the dump's moment, on this process's clock
         try:
             shift = then - float(kept["now"]) if "now" in kept else 0.0
-            last = {n: -inf if age is None else then - age for n, age in kept["last"].items() if n in self._sources}
+            last = {
+                n: -inf if age is None else then - age
+                for n, age in kept["last"].items()
+                if n in self._sources
+            }
             index = {n: int(at) for n, at in kept.get("index", {}).items() if n in self._sources}
             servers = {int(n): self._restored(row, then, shift) for n, row in kept["servers"].items()}
         except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
@@ -239,8 +252,14 @@
             created, renewed = more or (0, None)  # left out by older versions
             if source in self._sources:
                 member = Member(
-                    number, name, (address[0], address[1]), zone, cell, api.ReplicaState(state),
-                    None if started is None else started + shift, created,
+                    number,
+                    name,
+                    (address[0], address[1]),
+                    zone,
+                    cell,
+                    api.ReplicaState(state),
+                    None if started is None else started + shift,
+                    created,
                 )
                 since = inf if missing is None else then - missing
                 out.entries[source] = _Entry(
@@ -263,7 +282,7 @@
 
     def _reset_due(self, source: _Source) -> float:
         wait = self._fence.reset_sure if source.sure else self._fence.reset
-        return source.since + wait * 2.0 ** source.wrong
+        return source.since + wait * 2.0**source.wrong
 
     def _reset(self, source: _Source, now: float) -> None:
         """No agent has shown the higher index since: the lower one is what there is now."""
@@ -361,7 +380,8 @@
     def _state(self, server: _Server, now: float) -> tuple[api.ReplicaState, _Entry, bool] | None:
         """The worst of what sources say, whose entry it is, and whether it is held; None if nobody says anything."""
         found = [
-            (said[0], entry, said[1]) for entry in server.entries.values()
+            (said[0], entry, said[1])
+            for entry in server.entries.values()
             if (said := self._said(server, entry, now)) is not None
         ]
         if not found:
@@ -392,8 +412,12 @@
             member = member._replace(state=api.ReplicaState.GONE)
         elif member.started_at is None and (server.returns or entry.renewed is not None):
             # It may have restarted: cold from then on.
-            member = member._replace(started_at=max(server.ready_from if server.returns else -inf,
-                                                    -inf if entry.renewed is None else entry.renewed))
+            member = member._replace(
+                started_at=max(
+                    server.ready_from if server.returns else -inf,
+                    -inf if entry.renewed is None else entry.renewed,
+                )
+            )
         return Known(member, held)
 
 
--- a/gingervane/membership/register.py
+++ b/gingervane/membership/register.py
@@ -42,10 +42,15 @@
     def body(self) -> dict[str, Any]:
         """As /v1/agent/service/register takes it. Critical for long takes the entry out."""
         return {
-            "ID": self.name, "Name": self.service, "Address": self.address[0], "Port": self.address[1],
+            "ID": self.name,
+            "Name": self.service,
+            "Address": self.address[0],
+            "Port": self.address[1],
             "Meta": {"zone": self.zone, "cell": str(self.place), "started": f"{self.started:.3f}"},
             "Check": {
-                "CheckID": f"service:{self.name}", "TTL": f"{self.ttl:g}s", "Status": "passing",
+                "CheckID": f"service:{self.name}",
+                "TTL": f"{self.ttl:g}s",
+                "Status": "passing",
                 "DeregisterCriticalServiceAfter": f"{max(self.ttl * 6, 60):g}s",
             },
         }
@@ -79,7 +84,9 @@
         """The call had this status, None if there was no answer; seconds until the next."""
         if status == 200:
             return self._good()
-        if status == 404 and self._next is Say.PASS:  # forgotten: at once, as peers see it critical or not at all
+        if (
+            status == 404 and self._next is Say.PASS
+        ):  # forgotten: at once, as peers see it critical or not at all
             self.registered, self._next = False, Say.REGISTER
             return self._spread(self._pause.least)
         if status == 404 and self._next in (Say.DRAIN, Say.REMOVE):
@@ -123,8 +130,14 @@
     """Keeps an entry. Owner of the registration: its thread until `leave`, then the caller of `leave`."""
 
     def __init__(
-        self, entry: Entry, agents: tuple[tuple[str, int], ...], token_file: Path | None, pause: Pause,
-        complain: Callable[[str], None], rng: random.Random, ready: Callable[[], bool] = lambda: True,
+        self,
+        entry: Entry,
+        agents: tuple[tuple[str, int], ...],
+        token_file: Path | None,
+        pause: Pause,
+        complain: Callable[[str], None],
+        rng: random.Random,
+        ready: Callable[[], bool] = lambda: True,
     ) -> None:
         """`ready`: whether this co-ordinator can be sent work; the entry is not made before."""
         self._ready = ready
--- a/gingervane/membership/service.py
+++ b/gingervane/membership/service.py
@@ -39,8 +39,15 @@
     """`start`, `stop`; between them `tell` is told of nodes and `tell_peers` of co-ordinators, each on one thread."""
 
     def __init__(
-        self, table: Membership, fleet: Fleet, tree: Tree | None, rings: Rings, address: tuple[str, int],
-        tell: Callable[[Listed], None], tell_peers: Callable[[Listed], None], complain: Callable[[str], None],
+        self,
+        table: Membership,
+        fleet: Fleet,
+        tree: Tree | None,
+        rings: Rings,
+        address: tuple[str, int],
+        tell: Callable[[Listed], None],
+        tell_peers: Callable[[Listed], None],
+        complain: Callable[[str], None],
         rng: random.Random,
     ) -> None:
         """`address`: where this co-ordinator is reached."""
@@ -52,12 +59,21 @@
         fence = _WRITTEN if consul is None else fence_of(consul)
         names = self._names(consul)
         self.nodes = Sources(names, fence, tell, complain, self._snapshot(), self._offset, ("file",))
-        self.peers = Sources(
-            ("file", "consul"), fence, tell_peers, complain, None, self._offset, ("file",)
+        self.peers = Sources(("file", "consul"), fence, tell_peers, complain, None, self._offset, ("file",))
+        self._file = (
+            FileWatcher(
+                table.file,
+                fleet.zones,
+                rings.cells,
+                rings.peers,
+                table.interval,
+                self._offset,
+                self._listed,
+                complain,
+            )
+            if table.file
+            else None
         )
-        self._file = FileWatcher(
-            table.file, fleet.zones, rings.cells, rings.peers, table.interval, self._offset, self._listed, complain,
-        ) if table.file else None
         self._peers_in_file = False
         self._registrar: Registrar | None = None
         if consul is None:
@@ -70,7 +86,12 @@
                 tree.name, consul.coordinators, address, fleet.zone, tree.place, consul.ttl, time.time()
             )
             self._registrar = Registrar(
-                entry, consul.addresses, consul.token_file, Pause(wait=consul.wait), complain, rng,
+                entry,
+                consul.addresses,
+                consul.token_file,
+                Pause(wait=consul.wait),
+                complain,
+                rng,
                 lambda: self.known,
             )
 
@@ -91,16 +112,31 @@
             return None
 
     def _watch(
-        self, consul: ConsulTable, service: str, datacenter: str, cells: int, sources: Sources, name: str,
+        self,
+        consul: ConsulTable,
+        service: str,
+        datacenter: str,
+        cells: int,
+        sources: Sources,
+        name: str,
     ) -> list[ConsulWatcher]:
         place = ConsulPlace(
-            consul.addresses, service, datacenter, consul.stale, consul.token_file, consul.filter,
+            consul.addresses,
+            service,
+            datacenter,
+            consul.stale,
+            consul.token_file,
+            consul.filter,
             pause=Pause(wait=consul.wait),
         )
         return watch(
-            place, self._zones, cells, self._offset,
+            place,
+            self._zones,
+            cells,
+            self._offset,
             lambda members, age, index, sure: sources.report(name, members, age, index, sure),
-            self._complain, self._rng,
+            self._complain,
+            self._rng,
         )
 
     def _listed(self, lists: Lists) -> None:
--- a/gingervane/membership/sources.py
+++ b/gingervane/membership/sources.py
@@ -29,8 +29,14 @@
     """Owns the merge. `start` returns once something is known, from a source or from what was kept."""
 
     def __init__(
-        self, names: Iterable[str], fence: Fence, tell: Callable[[Listed], None], complain: Callable[[str], None],
-        snapshot: Snapshot | None = None, offset: float = 0.0, meant: Iterable[str] = (),
+        self,
+        names: Iterable[str],
+        fence: Fence,
+        tell: Callable[[Listed], None],
+        complain: Callable[[str], None],
+        snapshot: Snapshot | None = None,
+        offset: float = 0.0,
+        meant: Iterable[str] = (),
     ) -> None:
         """`tell` is called on the owner's thread, but for a start from what was kept. `offset` turns Unix time into
         the members' clock; `meant`: see `Merge`."""
@@ -43,7 +49,9 @@
         self._cached = False  # what was told is what was kept
         self._changes: dict[int, Member | None] = {}  # not told yet
         self._lock = threading.Lock()  # over telling: the start and the owner may both
-        self.heard: dict[str, float] = {}  # by source, on the monotonic clock: from when its newest answer held
+        self.heard: dict[
+            str, float
+        ] = {}  # by source, on the monotonic clock: from when its newest answer held
         self._thread = threading.Thread(target=self._run, name="sources", daemon=True)
 
     @property
@@ -61,7 +69,12 @@
         return now - max(self.heard.values(), default=-inf)
 
     def report(
-        self, source: str, members: tuple[Member, ...], age: float = 0.0, index: int = 0, sure: bool = False,
+        self,
+        source: str,
+        members: tuple[Member, ...],
+        age: float = 0.0,
+        index: int = 0,
+        sure: bool = False,
     ) -> None:
         """A whole list of a source; from any thread."""
         self._queue.put(Report(source, members, age, index, sure))
@@ -79,7 +92,9 @@
         if not self._known.wait(patience) and kept is not None:
             with self._lock:
                 if not self._known.is_set():
-                    self._complain(f"no source has answered; starting from the list kept {kept.age:.0f} s ago")
+                    self._complain(
+                        f"no source has answered; starting from the list kept {kept.age:.0f} s ago"
+                    )
                     self._cached = True
                     self._tell(self._view.whole(api.ListKind.CACHED))
                     self._known.set()
--- a/gingervane/membership/store.py
+++ b/gingervane/membership/store.py
@@ -65,7 +65,9 @@
     def __init__(self, path: Path, version: int, disk: Disk | None = None) -> None:
         self.path, self._version, self._disk = path, version, disk or Disk()
         self._aside = 0  # version of what stands there and must not be written over
-        self._lock = os.open(path.with_name(path.name + ".lock"), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o644)
+        self._lock = os.open(
+            path.with_name(path.name + ".lock"), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o644
+        )
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
--- a/gingervane/membership/view.py
+++ b/gingervane/membership/view.py
@@ -130,7 +130,5 @@
 
     def _listed(self, kind: api.ListKind, members: tuple[Member, ...]) -> Listed:
         started = self._started
-        rows = tuple(
-            api.Replica(m.id, m.cell, m.zone, 1.0, m.state, started.get(m.id, 0.0)) for m in members
-        )
+        rows = tuple(api.Replica(m.id, m.cell, m.zone, 1.0, m.state, started.get(m.id, 0.0)) for m in members)
         return Listed(api.MembershipChanged(kind, rows), {m.id: m.address for m in members})
--- a/gingervane/membership/watcher.py
+++ b/gingervane/membership/watcher.py
@@ -57,7 +57,11 @@
 
 
 def call(
-    pool: Pool, agent: Address, target: str, token_file: Path | None, until: float,
+    pool: Pool,
+    agent: Address,
+    target: str,
+    token_file: Path | None,
+    until: float,
 ) -> tuple[int, Headers, bytes]:
     """One GET. Raises OSError (the token's file included), Closed, HttpError."""
     fields = [("Host", f"{agent[0]}:{agent[1]}"), ("Accept", "application/json")]
@@ -70,8 +74,15 @@
     """Follows one service by blocking queries to some of its agents, one after another as they fail."""
 
     def __init__(
-        self, place: ConsulPlace, agents: list[int], zones: tuple[str, ...], cells: int, offset: float,
-        report: Report, complain: Callable[[str], None], rng: random.Random,
+        self,
+        place: ConsulPlace,
+        agents: list[int],
+        zones: tuple[str, ...],
+        cells: int,
+        offset: float,
+        report: Report,
+        complain: Callable[[str], None],
+        rng: random.Random,
     ) -> None:
         """`agents`: places in `place.agents`."""
         self._place, self._agents = place, [place.agents[n] for n in agents]
@@ -102,7 +113,12 @@
         address, sure = self._agents[asking.agent], asking.sure
         mode = Mode.CONSISTENT if sure else Mode.STALE if place.stale else Mode.DEFAULT
         target = path(
-            place.service, asking.index if asking.blocks else 0, asking.wait, mode, place.datacenter, place.filter_by
+            place.service,
+            asking.index if asking.blocks else 0,
+            asking.wait,
+            mode,
+            place.datacenter,
+            place.filter_by,
         )
         asking.asks(time.monotonic())
         self.calls += 1
@@ -136,8 +152,13 @@
 
 
 def watch(
-    place: ConsulPlace, zones: tuple[str, ...], cells: int, offset: float, report: Report,
-    complain: Callable[[str], None], rng: random.Random,
+    place: ConsulPlace,
+    zones: tuple[str, ...],
+    cells: int,
+    offset: float,
+    report: Report,
+    complain: Callable[[str], None],
+    rng: random.Random,
 ) -> list[ConsulWatcher]:
     """Watchers of one service, not yet started, with the agents dealt out among them."""
     return [
@@ -147,7 +168,10 @@
 
 
 def unknown_datacenters(
-    agents: tuple[Address, ...], wanted: tuple[str, ...], token_file: Path | None, patience: float,
+    agents: tuple[Address, ...],
+    wanted: tuple[str, ...],
+    token_file: Path | None,
+    patience: float,
 ) -> tuple[str, ...]:
     """Which of `wanted` the catalogue does not know; none of them if no agent answers in time."""
     pool = Pool(LIMITS, 0, 1.0)
--- a/gingervane/merge/series.py
+++ b/gingervane/merge/series.py
@@ -30,8 +30,9 @@
     times = np.concatenate([s.timestamps for s in group])
     values = np.concatenate([s.values for s in group])
     # Sorted by time, then by rank: of those with one timestamp the last one stays.
-    order = np.lexsort((values.view(np.uint64), np.where(np.isnan(values), -np.inf, values),
-                        ~np.isnan(values), times))
+    order = np.lexsort(
+        (values.view(np.uint64), np.where(np.isnan(values), -np.inf, values), ~np.isnan(values), times)
+    )
     times, values = times[order], values[order]
     keep = np.append(times[1:] != times[:-1], True) if len(times) else np.empty(0, bool)
     histograms: dict[int, bytes] = {}
--- a/gingervane/node/clients.py
+++ b/gingervane/node/clients.py
@@ -111,9 +111,16 @@
         parts, cost = self._parts(name, data["tablets"], text.encode())
         kind = self._core.settings.classes[number]
         plan = t.QueryPlan(
-            number, arrived + min(wait / 1000, kind.deadline), parts, self._travel, name, marks == ["1"], cost,
+            number,
+            arrived + min(wait / 1000, kind.deadline),
+            parts,
+            self._travel,
+            name,
+            marks == ["1"],
+            cost,
             (lambda results, whole: self._second(name, text.encode(), kind.second_step_parts, results, whole))
-            if kind.second_step_parts else None,
+            if kind.second_step_parts
+            else None,
         )
         return name, plan
 
@@ -147,12 +154,19 @@
         return tuple(parts), cost
 
     def _second(
-        self, name: str, text: bytes, most: int, results: dict[int, Value], whole: bool,
+        self,
+        name: str,
+        text: bytes,
+        most: int,
+        results: dict[int, Value],
+        whole: bool,
     ) -> tuple[t.PartPlan, ...]:
         """The second step goes to the shards with the highest scores among those that are in."""
         values = sorted(results.values(), key=lambda value: (-value.score, value.shard))
         chosen = values[:most]
-        words = f",from={'+'.join(str(v.shard) for v in sorted(values, key=lambda v: v.shard))},whole={whole:d}"
+        words = (
+            f",from={'+'.join(str(v.shard) for v in sorted(values, key=lambda v: v.shard))},whole={whole:d}"
+        )
         return tuple(
             t.PartPlan(v.shard, 1 / len(chosen), Asked(f"{name}.{v.shard}.b", v.shard, words, text))
             for v in chosen
--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -38,7 +38,9 @@
 
 SILENCE = 3.0  # seconds: an empty line is due every 2 s, and one that is late by half is not coming
 _STATES = {
-    "SERVING": api.ReplicaState.READY, "DRAINING": api.ReplicaState.DRAINING, "DELETED": api.ReplicaState.GONE,
+    "SERVING": api.ReplicaState.READY,
+    "DRAINING": api.ReplicaState.DRAINING,
+    "DELETED": api.ReplicaState.GONE,
 }
 _MOST_NAMES = 8192  # of replicas, kept for logs; the oldest go first
 _MOST_VALUE = 1 << 20  # bytes; a list of 1,024 replicas takes 400 to 600 for each, indented
@@ -101,7 +103,9 @@
             try:
                 replica, where = self._entry(entry)
             except (TypeError, KeyError, ValueError) as error:
-                self._log("list_entry_skipped", error=f"{type(error).__name__}: {error}", entry=str(entry)[:200])
+                self._log(
+                    "list_entry_skipped", error=f"{type(error).__name__}: {error}", entry=str(entry)[:200]
+                )
                 continue
             found[replica.id] = replica, where
             names[replica.id] = str(entry["host"])
@@ -110,16 +114,23 @@
         for replica, _ in found.values():
             if not whole or replica.state is not api.ReplicaState.READY:
                 self._log(
-                    "replica_listed", replica=self.host(replica.id), state=replica.state, version=version,
+                    "replica_listed",
+                    replica=self.host(replica.id),
+                    state=replica.state,
+                    version=version,
                     started_at=replica.started_at,
                 )
         self._log("list_read", version=version, whole=whole, cached=cached, replicas=len(found))
         kind = api.ListKind.CACHED if cached else api.ListKind.FULL if whole else api.ListKind.DELTA
         addresses = {number: where for number, (_, where) in found.items() if where}
-        return t.Listed(api.MembershipChanged(kind, tuple(replica for replica, _ in found.values())), addresses)
+        return t.Listed(
+            api.MembershipChanged(kind, tuple(replica for replica, _ in found.values())), addresses
+        )
 
     def _placed(
-        self, found: dict[int, tuple[api.Replica, Address | None]], cached: bool,
+        self,
+        found: dict[int, tuple[api.Replica, Address | None]],
+        cached: bool,
     ) -> dict[int, tuple[api.Replica, Address | None]]:
         """The same entries with starts on the monotonic clock."""
         listed = {n: r.started_at for n, (r, _) in found.items() if r.state is not api.ReplicaState.GONE}
@@ -145,8 +156,11 @@
         where, born = parse_address(entry["dial"], "dial"), float(entry.get("born_ms", 0))
         zone = self._zones.index(entry["site"]) if entry.get("site") in self._zones else -1
         replica = api.Replica(
-            id=replica_id(str(entry["host"])), cell=int(entry["block"]), zone=zone,
-            weight=float(entry.get("share", 1.0)), state=_STATES[entry["health"]],
+            id=replica_id(str(entry["host"])),
+            cell=int(entry["block"]),
+            zone=zone,
+            weight=float(entry.get("share", 1.0)),
+            state=_STATES[entry["health"]],
             started_at=born / 1000,  # in Unix time, 0 for long ago; `_placed` makes it monotonic
         )
         return replica, where
@@ -156,7 +170,11 @@
     """Follows discovery."""
 
     def __init__(
-        self, where: Address, reader: ListReader, tell: Callable[[t.Listed], None], log: Log,
+        self,
+        where: Address,
+        reader: ListReader,
+        tell: Callable[[t.Listed], None],
+        log: Log,
         answered_within: float = inf,
     ) -> None:
         """`answered_within`: seconds for a call up to its first line, if fewer than `SILENCE`."""
@@ -232,7 +250,9 @@
             self._becomes(WatchState.IDLE, "moved" if moved else what)
             if moved:
                 continue
-            if not owed:  # the module says when to ask again; one pause at a time, so that calls do not add up
+            if (
+                not owed
+            ):  # the module says when to ask again; one pause at a time, so that calls do not add up
                 self._tell(t.Listed(api.MembershipChanged(api.ListKind.FAILED, ()), {}))
 
     def _follow(self, where: Address) -> None:
@@ -302,4 +322,3 @@
         if listed:
             self._tell(listed)
         return True
-
--- a/gingervane/node/link.py
+++ b/gingervane/node/link.py
@@ -85,7 +85,10 @@
     """How parts travel in frames."""
 
     def write(
-        self, contents: list[frames.Asked], seconds_left: list[float], address: tuple[str, int],
+        self,
+        contents: list[frames.Asked],
+        seconds_left: list[float],
+        address: tuple[str, int],
     ) -> bytes:
         return frames.call(contents, [max(int(left * 1000), 1) for left in seconds_left])
 
@@ -106,8 +109,16 @@
 class Link:
     """One connection. `_up`: it may be written to; `_rest`: of a frame that it has not taken yet."""
 
-    def __init__(self, address: tuple[str, int], limits: LinkLimits, report: Report, check: CheckValue,
-                 ready: Callable[[Link], None], poll: select.epoll, on_end: OnEnd) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        limits: LinkLimits,
+        report: Report,
+        check: CheckValue,
+        ready: Callable[[Link], None],
+        poll: select.epoll,
+        on_end: OnEnd,
+    ) -> None:
         self.address, self._limits, self._report, self._check = address, limits, report, check
         self._on_end = on_end
         self._ready, self._lock, self._poll = ready, Lock(), poll
@@ -216,7 +227,9 @@
                 self.fail(LinkEnd.LATE_IN_FRAME, unwritten=parts)
                 return
             if item is not None:
-                self._rest_of = item if isinstance(item, t.Call) and any(e.attempt for e in item.errands) else None
+                self._rest_of = (
+                    item if isinstance(item, t.Call) and any(e.attempt for e in item.errands) else None
+                )
                 self._encoded_at = time.monotonic()
                 data, parts = (item, set[str]()) if isinstance(item, bytes) else self._prepare(item)
                 if data and TAP.on:
@@ -264,9 +277,9 @@
                     if held and held.errand is errand and errand.content.id not in left:
                         del self.out[errand.content.id]
         if stale:
-            self._report([
-                t.Ended(e.part, e.attempt, Outcome.NEVER_SENT, now, None, "waited too long") for e in stale
-            ])
+            self._report(
+                [t.Ended(e.part, e.attempt, Outcome.NEVER_SENT, now, None, "waited too long") for e in stale]
+            )
         if not errands:
             return b"", set()
         contents = [errand.content for errand in errands]
@@ -376,7 +389,11 @@
         return Value(shard, answer.score, cell)
 
     def fail(
-        self, reason: LinkEnd, detail: str = "", unwritten: set[str] | None = None, connected: bool = True,
+        self,
+        reason: LinkEnd,
+        detail: str = "",
+        unwritten: set[str] | None = None,
+        connected: bool = True,
     ) -> None:
         """The connection is of no further use: end all that is out on it, once.
 
--- a/gingervane/node/links.py
+++ b/gingervane/node/links.py
@@ -24,7 +24,10 @@
     """All connections to replicas. Methods that the reader runs: `_run`, `_wake`; all others: the decision thread."""
 
     def __init__(
-        self, limits: LinkLimits, report: Report, check: CheckValue = hex_cell,
+        self,
+        limits: LinkLimits,
+        report: Report,
+        check: CheckValue = hex_cell,
         on_end: OnEnd = lambda ended: None,
     ) -> None:
         self._limits, self._report, self._check, self._on_end = limits, report, check, on_end
@@ -32,7 +35,9 @@
         self._swept = time.monotonic()
         self._ready: deque[Link] = deque()
         self._poll = patiently(select.epoll)
-        self._by_number: dict[int, Link] = {}  # entered by the decision thread, which also takes out what it closes
+        self._by_number: dict[
+            int, Link
+        ] = {}  # entered by the decision thread, which also takes out what it closes
         self._rising: deque[Link] = deque()  # those that connect, the one that must be up first first
         self._closed = False
         start_thread(self._run, "links")
@@ -80,7 +85,9 @@
         if self.count >= self._limits.links and not self._make_room(now):
             return False
         try:
-            link = Link(call.address, self._limits, self._report, self._check, self._wake, self._poll, self._on_end)
+            link = Link(
+                call.address, self._limits, self._report, self._check, self._wake, self._poll, self._on_end
+            )
         except OSError:  # out of descriptors: no reason for the decision thread to end
             return False
         self._links.setdefault(call.address, []).append(link)
--- a/gingervane/node/peers.py
+++ b/gingervane/node/peers.py
@@ -19,7 +19,11 @@
     """The socket at `listen`. `peers`: addresses by number; `everyone`: one address that reaches all of them."""
 
     def __init__(
-        self, listen: Address, peers: tuple[Address, ...], everyone: Address | None, me: int,
+        self,
+        listen: Address,
+        peers: tuple[Address, ...],
+        everyone: Address | None,
+        me: int,
         heard: Callable[[int, bytes], None],
     ) -> None:
         self._sock = patiently(lambda: socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -39,7 +39,9 @@
 KILL_AFTER, LONGEST_COUNTED = 0.7, 3.0
 LAST_ANSWERS = 0.3  # seconds before SIGKILL may come, by when all that is still open has been answered
 OWN_DESCRIPTORS = 24  # the listener, discovery, datagrams, epoll, standard streams, and some to spare
-LAST_WRITES = 0.25  # of them, to write the replies and to have them read, before the process takes them with it
+LAST_WRITES = (
+    0.25  # of them, to write the replies and to have them read, before the process takes them with it
+)
 _SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1}  # SIGUSR1: write the counters
 
 
@@ -49,7 +51,9 @@
     `host` names a replica. Called on the decision thread.
     """
 
-    def __init__(self, telemetry: Telemetry, class_names: tuple[str, ...], host: Callable[[int], str]) -> None:
+    def __init__(
+        self, telemetry: Telemetry, class_names: tuple[str, ...], host: Callable[[int], str]
+    ) -> None:
         self._telemetry, self._classes, self._host = telemetry, class_names, host
 
     def settled(self, query: int, plan: t.QueryPlan, final: t.Final, seconds: float) -> None:
@@ -67,17 +71,29 @@
             return
         ends = Counter(step.outcome for step in final.path)
         write(
-            "query_settled", request=plan.tag, query=query, query_class=self._classes[plan.query_class],
-            verdict=verdict, reason=final.reason, step=final.step, parts=final.asked, parts_in=final.parts_in,
-            coverage=final.coverage, marked_whole=final.marked_whole, seconds=seconds,
-            attempts=" ".join(f"{count}x{outcome}" for outcome, count in ends.items()), detail=final.why,
+            "query_settled",
+            request=plan.tag,
+            query=query,
+            query_class=self._classes[plan.query_class],
+            verdict=verdict,
+            reason=final.reason,
+            step=final.step,
+            parts=final.asked,
+            parts_in=final.parts_in,
+            coverage=final.coverage,
+            marked_whole=final.marked_whole,
+            seconds=seconds,
+            attempts=" ".join(f"{count}x{outcome}" for outcome, count in ends.items()),
+            detail=final.why,
         )
 
     def attempt(self, outcome: api.Outcome, replica: int, seconds: float) -> None:
         if TAP.on:
             TAP.put("told", 0, 0, outcome=outcome.value, replica=replica, seconds=seconds)
         if self._telemetry.debug_on:
-            self._telemetry.debug("attempt_ended", replica=self._host(replica), outcome=outcome, seconds=seconds)
+            self._telemetry.debug(
+                "attempt_ended", replica=self._host(replica), outcome=outcome, seconds=seconds
+            )
 
     def remark(self, text: str) -> None:
         self._telemetry.info("remark", text=text)
@@ -120,10 +136,13 @@
         # Room for every part of as many queries as there can be connections: descriptors bound it, not this.
         most = Bounds(config.sockets * (1 + config.shards), 64 << 20)
         self.core = Core(
-            Coordinator(settings, config.seed), settings, most,
+            Coordinator(settings, config.seed),
+            settings,
+            most,
             CoreLog(telemetry, config.class_names, reader.host),
             lambda report: Links(limits, report, on_end=self._link_ended),
-            Outside(self._subscribe, self._tell_peers), gather=settings.granularity,
+            Outside(self._subscribe, self._tell_peers),
+            gather=settings.granularity,
         )
         self.front = ClientFront(self.core, config.class_names, config.shards)
         # Where lists are pushed, all counts as told as soon as discovery is back: a call that hangs since before
@@ -132,7 +151,8 @@
         self.watch = Watch(config.discovery, reader, self.core.listed, telemetry.info, patience)
         self._peers = (
             Peers(config.peer_listen, config.peers, config.peers_all, config.me, self.core.heard)
-            if config.peer_listen and settings.may_message_peers else None
+            if config.peer_listen and settings.may_message_peers
+            else None
         )
         try:
             known = reader.read(config.known, cached=True) if config.known else None
@@ -142,10 +162,19 @@
         if known:
             self.core.listed(known)
         connections = max(config.sockets - links - SPARE - OWN_DESCRIPTORS - MOST_ENDING, 1)
-        self.server = HttpServer(*config.listen, self.front.handle, ServerLimits(
-            connections=connections, head=1.5, body=1.0, write=5.0, message=Limits(16384, 65536), silent=2.0,
-            crowd=config.sockets // 6,  # half of what clients may hold for requests
-        ))
+        self.server = HttpServer(
+            *config.listen,
+            self.front.handle,
+            ServerLimits(
+                connections=connections,
+                head=1.5,
+                body=1.0,
+                write=5.0,
+                message=Limits(16384, 65536),
+                silent=2.0,
+                crowd=config.sockets // 6,  # half of what clients may hold for requests
+            ),
+        )
 
         counts = self.core.driver_counts
         telemetry.add_source("attempts", lambda: counts.outcomes)
@@ -157,8 +186,12 @@
         self.telemetry.counters.add("replica_connections_ended", ended.reason)
         if ended.out or self.telemetry.debug_on:
             self.telemetry.info(
-                "replica_connection_ended", address=f"{ended.address[0]}:{ended.address[1]}",
-                reason=ended.reason, detail=ended.detail, out=ended.out, unsent=ended.unsent,
+                "replica_connection_ended",
+                address=f"{ended.address[0]}:{ended.address[1]}",
+                reason=ended.reason,
+                detail=ended.detail,
+                out=ended.out,
+                unsent=ended.unsent,
             )
 
     def _subscribe(self) -> None:
@@ -247,13 +280,26 @@
     settings = config.settings
     for name, kind in zip(config.class_names, settings.classes, strict=True):
         telemetry.info(
-            "class_settings", query_class=name, semantics=kind.semantics, aim=kind.aim, deadline=kind.deadline,
-            repeat_window=kind.repeat_window or 0.0, second_step_parts=kind.second_step_parts,
-            least_share=kind.least_share, whole_share=kind.whole_share,
+            "class_settings",
+            query_class=name,
+            semantics=kind.semantics,
+            aim=kind.aim,
+            deadline=kind.deadline,
+            repeat_window=kind.repeat_window or 0.0,
+            second_step_parts=kind.second_step_parts,
+            least_share=kind.least_share,
+            whole_share=kind.whole_share,
         )
     telemetry.info(
-        "settings", coordinators=settings.coordinators, shards=config.shards, streams=config.streams,
-        parts_per_call=settings.parts_per_call, most_attempts=settings.most_attempts,
-        may_cancel=settings.may_cancel, may_copy=settings.may_copy, drain_grace=settings.drain_grace,
-        must_ask_membership=settings.must_ask_membership, sockets=config.sockets,
+        "settings",
+        coordinators=settings.coordinators,
+        shards=config.shards,
+        streams=config.streams,
+        parts_per_call=settings.parts_per_call,
+        most_attempts=settings.most_attempts,
+        may_cancel=settings.may_cancel,
+        may_copy=settings.may_copy,
+        drain_grace=settings.drain_grace,
+        must_ask_membership=settings.must_ask_membership,
+        sockets=config.sockets,
     )
--- a/gingervane/node/telemetry.py
+++ b/gingervane/node/telemetry.py
@@ -168,7 +168,9 @@
         self.counters = Counters()
         self._handler = BackgroundHandler(stream or sys.stderr, self.dump)
         self._handler.setFormatter(Formatter("-"))
-        self._logger = logging.Logger("gingervane.node", level)  # of its own: no other code adds handlers to it
+        self._logger = logging.Logger(
+            "gingervane.node", level
+        )  # of its own: no other code adds handlers to it
         self._logger.addHandler(self._handler)
         self._dumped: dict[tuple[str, str], int] = {}
         self._sources: list[tuple[str, Callable[[], Mapping[str, int]]]] = [
@@ -215,7 +217,9 @@
         if totals == self._dumped:
             return
         self._dumped = totals
-        fields = {f"{name}[{reason}]".replace(" ", "_"): count for (name, reason), count in sorted(totals.items())}
+        fields = {
+            f"{name}[{reason}]".replace(" ", "_"): count for (name, reason), count in sorted(totals.items())
+        }
         self._log(logging.INFO, "counters", fields)
 
     def _log(self, level: int, event: str, fields: Mapping[str, Field]) -> None:
--- a/gingervane/policy.py
+++ b/gingervane/policy.py
@@ -206,8 +206,11 @@
         self.stalled, self.idle_limit, self.limit_at = False, inf, 0.0  # stalled: just after a standstill
         self.idle_fine, self.fine_at = 0.0, 0.0  # the longest pause after which a part was answered, and when
         self.take: dict[type, Callable[..., None]] = {
-            api.AttemptEnded: self._ended, api.MembershipChanged: self._members, api.PeerMessage: self._told,
-            api.QueryArrived: self._take_query, api.PartArrived: self._take_part,
+            api.AttemptEnded: self._ended,
+            api.MembershipChanged: self._members,
+            api.PeerMessage: self._told,
+            api.QueryArrived: self._take_query,
+            api.PartArrived: self._take_part,
             api.TimerFired: lambda e: self.timers.pop(e.label, (0.0, lambda: None))[1](),
             api.QueryExpired: lambda e: self._close(self.queries[e.id]) if e.id in self.queries else None,
         }
@@ -393,10 +396,19 @@
         """Another holder: fit and untried, else fit, else any that is permitted."""
         held, out = self.held_by[part.arrived.shard % self.settings.cells], [a.server for a in part.out]
         others = [s for s in held if self._permitted(s) and s not in out]
-        return min(others, key=lambda s: (
-            not self._fit(s, part.query), s in part.tried, len(s.calls) + self._pace(s),
-            s.listed.zone != self.zone,
-        )) if others else None
+        return (
+            min(
+                others,
+                key=lambda s: (
+                    not self._fit(s, part.query),
+                    s in part.tried,
+                    len(s.calls) + self._pace(s),
+                    s.listed.zone != self.zone,
+                ),
+            )
+            if others
+            else None
+        )
 
     def _position(self, parts: list[_Part]) -> list[_Server]:
         """The servers of the position with the fewest calls out, as its parts would meet them."""
@@ -618,7 +630,8 @@
         slowest = self._delay(row) * max(means, 1.0)
         met = dict(zip(map(id, parts), row, strict=True))
         return slowest > limit * (query.aim_at - self.now) or query.lacks(
-            lambda p: p.lost or self._backed_up(met[id(p)], query))
+            lambda p: p.lost or self._backed_up(met[id(p)], query)
+        )
 
     def _settle(self, query: _Query) -> None:
         """End what can be: with enough for a whole answer, with all there is to come, or for want of it."""
