--- a/gingervane/standins/consul.py
+++ b/gingervane/standins/consul.py
@@ -33,8 +33,19 @@
 FAULTS = ("", "hang", "late", "500", "429", "empty", "garbage", "half", "cut", "no_leader", "stale", "lag")
 _FILTER = re.compile(r'Service\.Meta\.([\w-]+) == "([^"]*)"')
 _KEYS = {
-    key.lower(): key for key in (
-        "ID", "Name", "Tags", "Address", "Port", "Meta", "Check", "Checks", "CheckID", "TTL", "Status",
+    key.lower(): key
+    for key in (
+        "ID",
+        "Name",
+        "Tags",
+        "Address",
+        "Port",
+        "Meta",
+        "Check",
+        "Checks",
+        "CheckID",
+        "TTL",
+        "Status",
         "DeregisterCriticalServiceAfter",
     )
 }
@@ -68,7 +79,8 @@
                 ttl = _seconds(given.get("TTL", "0s"))
                 own_id = f"service:{service['ID']}" + (f":{number}" if len(asked) > 1 else "")
                 checks[given.get("CheckID", own_id)] = {
-                    "Status": given.get("Status", "critical"), "ttl": ttl,
+                    "Status": given.get("Status", "critical"),
+                    "ttl": ttl,
                     "due": time.monotonic() + ttl if ttl else inf,
                     "remove": _seconds(given.get("DeregisterCriticalServiceAfter", "0s")),
                 }
@@ -91,7 +103,9 @@
             service = self._services.get(name)
             if service is None:
                 return False
-            known = service["Checks"].setdefault(check, {"Status": None, "ttl": 0.0, "due": inf, "remove": 0.0})
+            known = service["Checks"].setdefault(
+                check, {"Status": None, "ttl": 0.0, "due": inf, "remove": 0.0}
+            )
             known["due"] = time.monotonic() + known["ttl"] if known["ttl"] else inf
             if status is None:
                 del service["Checks"][check]
@@ -139,7 +153,12 @@
         checks = {check: known["Status"] for check, known in service["Checks"].items()}
         here = self._services.get(service["ID"]) is service
         self._recorder.put(
-            "change", service=service["ID"], index=self.index, here=here, meta=service.get("Meta", {}), checks=checks
+            "change",
+            service=service["ID"],
+            index=self.index,
+            here=here,
+            meta=service.get("Meta", {}),
+            checks=checks,
         )
         self.changed.notify_all()
 
@@ -148,8 +167,12 @@
             while not self._closed:
                 now = time.monotonic()
                 due, name, check = min(
-                    ((known["due"], s["ID"], check) for s in self._services.values()
-                     for check, known in s["Checks"].items()), default=(inf, "", ""),
+                    (
+                        (known["due"], s["ID"], check)
+                        for s in self._services.values()
+                        for check, known in s["Checks"].items()
+                    ),
+                    default=(inf, "", ""),
                 )
                 if due > now:
                     self.changed.wait(None if due == inf else due - now)
@@ -182,7 +205,11 @@
     """One agent before a catalogue. `fault` is one of FAULTS."""
 
     def __init__(
-        self, catalogue: Catalogue, recorder: Recorder | None = None, number: int = 0, token: str = "",
+        self,
+        catalogue: Catalogue,
+        recorder: Recorder | None = None,
+        number: int = 0,
+        token: str = "",
     ) -> None:
         self.catalogue, self.token, self.calls, self.fault = catalogue, token, 0, ""
         self.call_times: list[float] = []
@@ -227,7 +254,9 @@
         if self.fault == "late":
             self._stop.wait(1.0)
         if self.fault in ("500", "429"):
-            return plain(int(self.fault), "rpc error", fields=(("Retry-After", "1"),) if self.fault == "429" else ())
+            return plain(
+                int(self.fault), "rpc error", fields=(("Retry-After", "1"),) if self.fault == "429" else ()
+            )
         if self.token and request.headers.get("x-consul-token") != self.token:
             return plain(403, "Permission denied: token with AccessorID lacks permission")
         try:
@@ -235,16 +264,25 @@
         except (ValueError, KeyError, TypeError) as error:
             return plain(400, f"bad request: {error!r}")
 
-    def _route(self, method: str, words: list[str], query: dict[str, str], body: bytes, client: Exchange) -> Reply:
+    def _route(
+        self, method: str, words: list[str], query: dict[str, str], body: bytes, client: Exchange
+    ) -> Reply:
         match [method, *words]:
             case ["GET", "v1", "health", "service", name]:
                 return self._health(name, query, client)
             case ["GET", "v1", "catalog", "service", name]:
                 with self.catalogue.changed:
                     found = [
-                        {"ServiceID": s["ID"], "ServiceName": name, "ServicePort": s["Port"],
-                         "ServiceAddress": s.get("Address", ""), "ServiceMeta": s["Meta"],
-                         "ServiceTags": s["Tags"], "Address": "127.0.0.1", "Node": "n"}
+                        {
+                            "ServiceID": s["ID"],
+                            "ServiceName": name,
+                            "ServicePort": s["Port"],
+                            "ServiceAddress": s.get("Address", ""),
+                            "ServiceMeta": s["Meta"],
+                            "ServiceTags": s["Tags"],
+                            "Address": "127.0.0.1",
+                            "Node": "n",
+                        }
                         for s in (entry["Service"] for entry in self.catalogue.entries(name))
                     ]
                     index = self.catalogue.index_of(name)
@@ -277,7 +315,10 @@
         dc = query.get("dc", self.catalogue.datacenters[0])
         if dc not in self.catalogue.datacenters:
             return plain(500, "No path to datacenter")
-        asked, wait = int(query.get("index", "0")), _seconds(query.get("wait", "300s")) if query.get("index") else 0.0
+        asked, wait = (
+            int(query.get("index", "0")),
+            _seconds(query.get("wait", "300s")) if query.get("index") else 0.0,
+        )
         until = time.monotonic() + min(wait * (1 + self._rng.random() / 16), 600.0)
         behind = self.fault in ("stale", "lag")
         if behind and self.fault == "stale" and "consistent" in query:
@@ -326,7 +367,9 @@
         leader = "false" if self.fault in ("no_leader", "stale") else "true"
         behind = (time.monotonic() - self._since) * 1000 if self.fault == "stale" else 0.0
         fields = [
-            ("Content-Type", "application/json"), ("X-Consul-Index", str(index)), ("X-Consul-KnownLeader", leader),
+            ("Content-Type", "application/json"),
+            ("X-Consul-Index", str(index)),
+            ("X-Consul-KnownLeader", leader),
             ("X-Consul-LastContact", str(int(behind))),
         ]
         return Reply(200, fields, json.dumps(body).encode() if encoded is None else encoded)
--- a/gingervane/standins/fleet.py
+++ b/gingervane/standins/fleet.py
@@ -47,8 +47,14 @@
 
 def _grid(orders: Orders, recorder: Recorder, faults: dict[int, list[Fault]]) -> Grid:
     return Grid(
-        orders["nodes"], orders["tiles"], tuple(orders["zones"]), orders["width"], Model(*orders["model"]),
-        recorder, faults, orders.get("only"),
+        orders["nodes"],
+        orders["tiles"],
+        tuple(orders["zones"]),
+        orders["width"],
+        Model(*orders["model"]),
+        recorder,
+        faults,
+        orders.get("only"),
     )
 
 
--- a/gingervane/standins/node.py
+++ b/gingervane/standins/node.py
@@ -55,8 +55,14 @@
     """One grid node on a loopback port. It starts warm unless told when it started."""
 
     def __init__(
-        self, number: int, tiles: Iterable[str], model: Model = MODEL, faults: Iterable[Fault] = (),
-        recorder: Recorder | None = None, label: str = "tile", started_at: float = 0.0,
+        self,
+        number: int,
+        tiles: Iterable[str],
+        model: Model = MODEL,
+        faults: Iterable[Fault] = (),
+        recorder: Recorder | None = None,
+        label: str = "tile",
+        started_at: float = 0.0,
     ) -> None:
         self.id, self.tiles, self.label = number, frozenset(tiles), label
         self.schedule = Schedule(faults, number)
@@ -85,7 +91,9 @@
     def fallen(self) -> bool:
         return self._capacity.fallen
 
-    def fault(self, kind: str, seconds: float, size: float = 1.0, delay: float = 0.0, how: str = "crash") -> None:
+    def fault(
+        self, kind: str, seconds: float, size: float = 1.0, delay: float = 0.0, how: str = "crash"
+    ) -> None:
         """Schedule a fault from now on."""
         with self._lock:
             self.schedule.add(Fault(kind, time.monotonic() + delay, seconds, size, how))
@@ -253,7 +261,9 @@
                 return False
         return True
 
-    def _reply(self, sock: socket.socket, queries: tuple[Query, ...], tiles: list[list[str]], now: float) -> bool:
+    def _reply(
+        self, sock: socket.socket, queries: tuple[Query, ...], tiles: list[list[str]], now: float
+    ) -> bool:
         strikes = self.schedule.strikes
         if strikes("wrong_tile", now):
             tiles = [[f"not-{tile}" for tile in found] for found in tiles]
@@ -263,7 +273,8 @@
             # As the tile asked for would: only what the answer says of itself is wrong.
             asked = query._replace(
                 matchers=tuple(m for m in query.matchers if m.name != self.label),
-                start_ms=query.start_ms + shift, end_ms=query.end_ms + shift,
+                start_ms=query.start_ms + shift,
+                end_ms=query.end_ms + shift,
             )
             series = [one for tile in found for one in data.answer(tile, asked, self.label)]
             results.append(sorted(series, key=lambda one: one.labels))
@@ -307,7 +318,11 @@
         return self._send(sock, 200, b"scheduled")
 
     def _send(
-        self, sock: socket.socket, status: int, body: bytes, fields: tuple[tuple[str, str], ...] = (),
+        self,
+        sock: socket.socket,
+        status: int,
+        body: bytes,
+        fields: tuple[tuple[str, str], ...] = (),
     ) -> bool:
         sock.settimeout(30.0)
         sock.sendall(http1.response(status, [("Content-Type", "text/plain"), *fields], body + b"\n"))
@@ -318,8 +333,14 @@
     """A ring of nodes over tiles: node i starts at cell i and holds `width` cells, in zones by turns."""
 
     def __init__(
-        self, nodes: int, tiles: int, zones: tuple[str, ...], width: int = 3, model: Model = MODEL,
-        recorder: Recorder | None = None, schedule: dict[int, list[Fault]] | None = None,
+        self,
+        nodes: int,
+        tiles: int,
+        zones: tuple[str, ...],
+        width: int = 3,
+        model: Model = MODEL,
+        recorder: Recorder | None = None,
+        schedule: dict[int, list[Fault]] | None = None,
         only: Iterable[int] | None = None,
     ) -> None:
         """`only`: the nodes of the ring that this process runs; all of them if left out."""
@@ -327,8 +348,11 @@
         self.tiles = [f"t{i:03d}" for i in range(tiles)]
         self.nodes = [
             Node(
-                i, [name for k, name in enumerate(self.tiles) if (i - k) % nodes < width], model,
-                (schedule or {}).get(i, ()), recorder,
+                i,
+                [name for k, name in enumerate(self.tiles) if (i - k) % nodes < width],
+                model,
+                (schedule or {}).get(i, ()),
+                recorder,
             ).start()
             for i in (range(nodes) if only is None else only)
         ]
@@ -345,10 +369,16 @@
         out = []
         for node in self.nodes:
             host, port = node.address
-            out.append(list_row(
-                node.id, f"{host}:{port}", self.zone(node.id), node.id,
-                (states or {}).get(node.id, "ready"), (started or {}).get(node.id),
-            ))
+            out.append(
+                list_row(
+                    node.id,
+                    f"{host}:{port}",
+                    self.zone(node.id),
+                    node.id,
+                    (states or {}).get(node.id, "ready"),
+                    (started or {}).get(node.id),
+                )
+            )
         return "\n".join(out)
 
     def stop(self) -> None:
@@ -357,7 +387,13 @@
 
 
 def list_row(
-    number: int, address: str, zone: str, cell: int, state: str, started: float | None, table: str = "node",
+    number: int,
+    address: str,
+    zone: str,
+    cell: int,
+    state: str,
+    started: float | None,
+    table: str = "node",
     name: str = "",
 ) -> str:
     """One [[node]] or [[coordinator]] of a list file."""
--- a/gingervane/standins/vectors.py
+++ b/gingervane/standins/vectors.py
@@ -52,7 +52,8 @@
         sign = -1.0 if self.collection.greater_is_nearer else 1.0
         least, wanted = asked.get("score_threshold"), asked.get("filter")
         found = [
-            (sign * float(score), order_of(row["id"]), row) for score, row in zip(scores, rows, strict=True)
+            (sign * float(score), order_of(row["id"]), row)
+            for score, row in zip(scores, rows, strict=True)
             if least is None or sign * score <= sign * least
         ]
         if wanted:
@@ -90,15 +91,27 @@
         changed = []
         if kind == "upsert":
             for point in body["points"]:
-                row = {**point, "payload": point.get("payload") or {}, "version": version, "deleted": False,
-                       "ops": 0}
+                row = {
+                    **point,
+                    "payload": point.get("payload") or {},
+                    "version": version,
+                    "deleted": False,
+                    "ops": 0,
+                }
                 if self.put(row):
                     changed.append(point["id"])
             return changed
         for number in body["points"]:
             known = self.points.get(number)
             if kind == "delete":
-                row = {"id": number, "vector": [], "payload": {}, "version": version, "deleted": True, "ops": 0}
+                row = {
+                    "id": number,
+                    "vector": [],
+                    "payload": {},
+                    "version": version,
+                    "deleted": True,
+                    "ops": 0,
+                }
                 if self.put(row):
                     changed.append(number)
                 continue
@@ -109,9 +122,14 @@
                 # Counted whatever came before or after: additions have no order, but how many there were has.
                 for key, by in body["payload"].items():
                     payload[key] = payload.get(key, 0) + by
-                self.put({
-                    **known, "payload": payload, "version": max(version, known["version"]), "ops": known["ops"] + 1,
-                })
+                self.put(
+                    {
+                        **known,
+                        "payload": payload,
+                        "version": max(version, known["version"]),
+                        "ops": known["ops"] + 1,
+                    }
+                )
                 changed.append(number)
             elif self.put({**known, "payload": payload | body["payload"], "version": version}):
                 changed.append(number)
@@ -134,14 +152,22 @@
     """One node on a loopback port, holding some shards of every collection."""
 
     def __init__(
-        self, number: int, shards: Iterable[int], collections: Iterable[Collection], window: float = 10.0,
-        model: Model = MODEL, faults: Iterable[Fault] = (), recorder: Recorder | None = None,
+        self,
+        number: int,
+        shards: Iterable[int],
+        collections: Iterable[Collection],
+        window: float = 10.0,
+        model: Model = MODEL,
+        faults: Iterable[Fault] = (),
+        recorder: Recorder | None = None,
     ) -> None:
         super().__init__(number, (), model, faults, recorder)
         self.collections = {c.name: c for c in collections}
         self.shards = {(c, s): Shard(self.collections[c]) for c in self.collections for s in shards}
         self._window = window
-        self._keys: dict[tuple[str, str, int], float] = {}  # when a key was first seen, by collection and shard
+        self._keys: dict[
+            tuple[str, str, int], float
+        ] = {}  # when a key was first seen, by collection and shard
 
     def _answer(self, sock: socket.socket, request: Request, body: bytes) -> bool:
         if request.target == "/control":
@@ -185,12 +211,17 @@
         if self.schedule.hangs(now) or self.schedule.strikes("lose_answers", now):
             self._hold(sock)
             return False
-        fresh = ",".join(sorted({
-            f"s{one['shard']}={self.shards[words[1], one['shard']].newest}" for one in operations
-        }))
-        data = orjson.dumps({"result": result if words[-1] == "batch" else result[0], "status": "ok", "time": 0.0})
-        fields = [("Content-Type", "application/json"), ("Gingervane-Node", str(self.id)),
-                  ("Gingervane-Freshness", fresh)]
+        fresh = ",".join(
+            sorted({f"s{one['shard']}={self.shards[words[1], one['shard']].newest}" for one in operations})
+        )
+        data = orjson.dumps(
+            {"result": result if words[-1] == "batch" else result[0], "status": "ok", "time": 0.0}
+        )
+        fields = [
+            ("Content-Type", "application/json"),
+            ("Gingervane-Node", str(self.id)),
+            ("Gingervane-Freshness", fresh),
+        ]
         whole = http1.response(200, fields, data)
         sock.settimeout(30.0)
         if self.schedule.strikes("reset_mid_body", now) or self.schedule.strikes("short_body", now):
@@ -207,11 +238,15 @@
         if words[2] == "shards":
             found = [{"shard": int(words[3]), "kind": words[4], "body": asked}]
         elif words[2:] == ["points", "search", "batch"]:
-            found = [{"shard": int(one["shard_key"][1:]), "kind": "search", "body": one} for one in asked["searches"]]
+            found = [
+                {"shard": int(one["shard_key"][1:]), "kind": "search", "body": one}
+                for one in asked["searches"]
+            ]
         elif words[2:] == ["points", "batch"]:
             found = [
                 {"shard": int(body["shard_key"][1:]), "kind": kind, "body": body}
-                for one in asked["operations"] for kind, body in one.items()
+                for one in asked["operations"]
+                for kind, body in one.items()
             ]
         else:
             return None
@@ -232,7 +267,9 @@
                     return [row for n, row in shard.points.items() if str(n) in wanted]
                 case "put":
                     stored = [row["id"] for row in body["points"] if shard.put(row)]
-                    self._recorder.put("repaired", node=self.id, collection=collection, shard=number, points=stored)
+                    self._recorder.put(
+                        "repaired", node=self.id, collection=collection, shard=number, points=stored
+                    )
                     return {"stored": len(stored)}
             now, known = time.monotonic(), self._keys.get((key, collection, number)) if key else None
             repeat = known is not None and now - known < self._window
@@ -242,8 +279,16 @@
                 if key:
                     self._keys[key, collection, number] = now
             self._recorder.put(
-                "effect", node=self.id, collection=collection, shard=number, op=kind, key=key, version=version,
-                repeat=repeat, changed=changed, added=list(body["payload"]) if kind == "increment_payload" else [],
+                "effect",
+                node=self.id,
+                collection=collection,
+                shard=number,
+                op=kind,
+                key=key,
+                version=version,
+                repeat=repeat,
+                changed=changed,
+                added=list(body["payload"]) if kind == "increment_payload" else [],
             )
             return {"operation_id": self._calls, "status": "completed", "repeat": repeat}
 
@@ -252,8 +297,14 @@
     """A ring of nodes: node i holds shards i, i-1, ..., i-width+1."""
 
     def __init__(
-        self, nodes: int, collections: Iterable[Collection], width: int = 3, window: float = 10.0,
-        model: Model = MODEL, recorder: Recorder | None = None, schedule: dict[int, list[Fault]] | None = None,
+        self,
+        nodes: int,
+        collections: Iterable[Collection],
+        width: int = 3,
+        window: float = 10.0,
+        model: Model = MODEL,
+        recorder: Recorder | None = None,
+        schedule: dict[int, list[Fault]] | None = None,
         only: Iterable[int] | None = None,
     ) -> None:
         self.collections = tuple(collections)
@@ -278,8 +329,14 @@
 
 def _grid(orders: Orders, recorder: Recorder, faults: dict[int, list[Fault]]) -> VectorGrid:
     return VectorGrid(
-        orders["nodes"], [Collection(*c) for c in orders["collections"]], orders["width"], orders["window"],
-        Model(*orders["model"]), recorder, faults, orders.get("only"),
+        orders["nodes"],
+        [Collection(*c) for c in orders["collections"]],
+        orders["width"],
+        orders["window"],
+        Model(*orders["model"]),
+        recorder,
+        faults,
+        orders.get("only"),
     )
 
 
--- a/gingervane/tree/cost.py
+++ b/gingervane/tree/cost.py
@@ -22,8 +22,14 @@
         self._n = self._x = self._y = self._xx = self._xy = self._yy = 0.0
 
     def learn(self, leaves: int, seconds: float) -> None:
-        for name, value in (("_n", 1.0), ("_x", leaves), ("_y", seconds), ("_xx", leaves * leaves),
-                            ("_xy", leaves * seconds), ("_yy", seconds * seconds)):
+        for name, value in (
+            ("_n", 1.0),
+            ("_x", leaves),
+            ("_y", seconds),
+            ("_xx", leaves * leaves),
+            ("_xy", leaves * seconds),
+            ("_yy", seconds * seconds),
+        ):
             setattr(self, name, getattr(self, name) * FADE + value)
 
     @property
@@ -50,8 +56,10 @@
         if not self._n:
             return 0.0
         mean, each = self._y / self._n, self.each
-        variance = max(self._yy / self._n - mean * mean - each * each * (
-            self._xx / self._n - (self._x / self._n) ** 2), 0.0)
+        variance = max(
+            self._yy / self._n - mean * mean - each * each * (self._xx / self._n - (self._x / self._n) ** 2),
+            0.0,
+        )
         return self.mean(leaves) + DEVIATIONS * sqrt(variance)
 
 
--- a/gingervane/tree/coverage.py
+++ b/gingervane/tree/coverage.py
@@ -50,7 +50,12 @@
     numbers: list[int] = []
     for run in counts.split(".") if counts else []:
         count, _, repeated = run.partition("x")
-        if not count.isdigit() or len(count) > 9 or (repeated and not repeated.isdigit()) or len(repeated) > 6:
+        if (
+            not count.isdigit()
+            or len(count) > 9
+            or (repeated and not repeated.isdigit())
+            or len(repeated) > 6
+        ):
             raise CoverageError(f"counts: {run[:20]!r} is no run")
         if len(numbers) + int(repeated or 1) > len(held):
             raise CoverageError(f"counts: more than the {len(held)} leaves held")
--- a/gingervane/tree/run.py
+++ b/gingervane/tree/run.py
@@ -46,8 +46,12 @@
     `leaf_content` reads one."""
 
     def __init__(
-        self, wide: WideQuery, setting: Setting, queries: Sequence[tuple[Any, frozenset[str]]],
-        leaf_part: Callable[[str], t.PartPlan], leaf_content: Callable[[Any], LeafContent],
+        self,
+        wide: WideQuery,
+        setting: Setting,
+        queries: Sequence[tuple[Any, frozenset[str]]],
+        leaf_part: Callable[[str], t.PartPlan],
+        leaf_content: Callable[[Any], LeafContent],
     ) -> None:
         self._wide, self._set, self._queries = wide, setting, queries
         self._leaf_part, self._leaf_content = leaf_part, leaf_content
@@ -113,13 +117,18 @@
         if isinstance(action, AskLeaves):
             weight = 1.0 / len(action.leaves)
             parts = tuple(
-                self._leaf_part(name)._replace(weight=weight, most_runs=action.attempts) for name in action.leaves
+                self._leaf_part(name)._replace(weight=weight, most_runs=action.attempts)
+                for name in action.leaves
+            )
+            plan = t.QueryPlan(
+                self._set.leaf_class, until, parts, self._set.leaf_exchange, self._set.query_class
             )
-            plan = t.QueryPlan(self._set.leaf_class, until, parts, self._set.leaf_exchange, self._set.query_class)
             return self._set.core.submit(plan, self._answers)
         asks = tuple(self._ask(action, attempts) for attempts in action.runs)
         part = t.PartPlan(action.subtree.place, 1.0, asks[-1], len(asks), asks)
-        plan = t.QueryPlan(self._set.branch_class, until, (part,), self._set.branch_exchange, self._set.query_class)
+        plan = t.QueryPlan(
+            self._set.branch_class, until, (part,), self._set.branch_exchange, self._set.query_class
+        )
         return self._set.branch.submit(plan, self._answers)
 
     def _ask(self, action: AskSubtree, attempts: int) -> Ask:
@@ -127,7 +136,8 @@
         inside = frozenset(leaves)
         queries = tuple(
             (number, query, tuple(sorted(touched & inside)))
-            for number, (query, touched) in enumerate(self._queries) if touched & inside
+            for number, (query, touched) in enumerate(self._queries)
+            if touched & inside
         )
         task = self._wide.task
         orders = Orders(task.levels - 1, attempts, (*task.trail, self._set.name))
@@ -143,8 +153,11 @@
         if isinstance(action, AskSubtree):
             got: Got | None = final.results.get(0) if answered else None
             runs = [
-                (action.runs[min(note.run, len(action.runs) - 1)], note.never_ran,
-                 got.used if got and note.outcome == "ok" else None)
+                (
+                    action.runs[min(note.run, len(action.runs) - 1)],
+                    note.never_ran,
+                    got.used if got and note.outcome == "ok" else None,
+                )
                 for note in final.path
             ]
             used, idle = used_of(runs)
@@ -154,7 +167,10 @@
             idle = not used
         before = {name: self._wide.sum.source(name) for name in held}
         actions = self._wide.ended(time.monotonic(), way, Brought(frozenset(held), used, idle, wait))
-        for name, by_query in held.items():  # the series of a leaf are those of the way that it was counted from
+        for (
+            name,
+            by_query,
+        ) in held.items():  # the series of a leaf are those of the way that it was counted from
             if before[name] is None and self._wide.sum.source(name) == way:
                 self._held[name] = by_query
         ticket.done()
@@ -162,7 +178,9 @@
 
 
 def leaves_of(
-    parts: Sequence[t.PartPlan], final: t.Final, leaf_content: Callable[[Any], LeafContent],
+    parts: Sequence[t.PartPlan],
+    final: t.Final,
+    leaf_content: Callable[[Any], LeafContent],
 ) -> tuple[dict[str, dict[int, Any]], int]:
     """What leaves that were asked directly gave, by name and number of the query; most attempts that ran for one."""
     ran = Counter(note.shard for note in final.path if not note.never_ran)
--- a/gingervane/vectors/front.py
+++ b/gingervane/vectors/front.py
@@ -72,7 +72,12 @@
     """Routes of the vector API."""
 
     def __init__(
-        self, search: Desk, writes: Writes, setting: VectorSetting, classes: dict[str, ClassOf], gate: Gate,
+        self,
+        search: Desk,
+        writes: Writes,
+        setting: VectorSetting,
+        classes: dict[str, ClassOf],
+        gate: Gate,
     ) -> None:
         self._gate, self._longest = gate, max(kind.deadline for kind in classes.values())
         self._desk, self._writes, self._set, self._classes = search, writes, setting, classes
@@ -100,10 +105,14 @@
     # ---- requests
 
     def _guard(
-        self, read: Callable[[Collection, dict[str, Any], Request, float], _Then],
+        self,
+        read: Callable[[Collection, dict[str, Any], Request, float], _Then],
     ) -> Callable[[Request, bytes, float, Exchange, dict[str, str]], Reply]:
         """Read in this front's turn, then do it; errors as the API says them."""
-        def handle(request: Request, body: bytes, arrived: float, client: Exchange, words: dict[str, str]) -> Reply:
+
+        def handle(
+            request: Request, body: bytes, arrived: float, client: Exchange, words: dict[str, str]
+        ) -> Reply:
             collection = self._set.collections.get(words["name"])
             if collection is None:
                 return _error(404, f"Not found: Collection `{words['name']}` doesn't exist!")
@@ -132,50 +141,81 @@
         return _Ask(name, kind, arrived + min(timeout, kind.deadline), partial)
 
     def _describe(
-        self, request: Request, body: bytes, arrived: float, client: Exchange, words: dict[str, str],
+        self,
+        request: Request,
+        body: bytes,
+        arrived: float,
+        client: Exchange,
+        words: dict[str, str],
     ) -> Reply:
         collection = self._set.collections.get(words["name"])
         if collection is None:
             return _error(404, f"Not found: Collection `{words['name']}` doesn't exist!")
-        return _result({
-            "status": "green", "optimizer_status": "ok", "segments_count": self._set.shards, "payload_schema": {},
-            "config": {
-                "params": {
-                    "vectors": {"size": collection.dims, "distance": collection.distance},
-                    "shard_number": self._set.shards, "replication_factor": self._set.width,
-                    "write_consistency_factor": self._set.quorum, "on_disk_payload": False,
-                },
-                "hnsw_config": {"m": 0, "ef_construct": 100, "full_scan_threshold": 10000},
-                "optimizer_config": {
-                    "deleted_threshold": 0.2, "vacuum_min_vector_number": 1000, "default_segment_number": 0,
-                    "flush_interval_sec": 5,
+        return _result(
+            {
+                "status": "green",
+                "optimizer_status": "ok",
+                "segments_count": self._set.shards,
+                "payload_schema": {},
+                "config": {
+                    "params": {
+                        "vectors": {"size": collection.dims, "distance": collection.distance},
+                        "shard_number": self._set.shards,
+                        "replication_factor": self._set.width,
+                        "write_consistency_factor": self._set.quorum,
+                        "on_disk_payload": False,
+                    },
+                    "hnsw_config": {"m": 0, "ef_construct": 100, "full_scan_threshold": 10000},
+                    "optimizer_config": {
+                        "deleted_threshold": 0.2,
+                        "vacuum_min_vector_number": 1000,
+                        "default_segment_number": 0,
+                        "flush_interval_sec": 5,
+                    },
+                    "wal_config": {"wal_capacity_mb": 32, "wal_segments_ahead": 0},
                 },
-                "wal_config": {"wal_capacity_mb": 32, "wal_segments_ahead": 0},
             },
-        }, arrived)
+            arrived,
+        )
 
     # ---- search
 
     def _search(
-        self, collection: Collection, body: dict[str, Any], request: Request, arrived: float,
+        self,
+        collection: Collection,
+        body: dict[str, Any],
+        request: Request,
+        arrived: float,
     ) -> _Then:
         one = reading.read_search(body, collection, self._set.bounds)
         return self._find(collection, [one], request, arrived, lambda found: found[0])
 
     def _query(
-        self, collection: Collection, body: dict[str, Any], request: Request, arrived: float,
+        self,
+        collection: Collection,
+        body: dict[str, Any],
+        request: Request,
+        arrived: float,
     ) -> _Then:
         one = reading.read_search(body, collection, self._set.bounds)
         return self._find(collection, [one], request, arrived, lambda found: {"points": found[0]})
 
     def _search_batch(
-        self, collection: Collection, body: dict[str, Any], request: Request, arrived: float,
+        self,
+        collection: Collection,
+        body: dict[str, Any],
+        request: Request,
+        arrived: float,
     ) -> _Then:
         asked = reading.read_searches(body, collection, self._set.bounds)
         return self._find(collection, asked, request, arrived, lambda found: found)
 
     def _query_batch(
-        self, collection: Collection, body: dict[str, Any], request: Request, arrived: float,
+        self,
+        collection: Collection,
+        body: dict[str, Any],
+        request: Request,
+        arrived: float,
     ) -> _Then:
         asked = reading.read_searches(body, collection, self._set.bounds)
         return self._find(
@@ -183,7 +223,11 @@
         )
 
     def _find(
-        self, collection: Collection, asked: list[Search], request: Request, arrived: float,
+        self,
+        collection: Collection,
+        asked: list[Search],
+        request: Request,
+        arrived: float,
         shape: Callable[[list[Any]], Any],
     ) -> _Then:
         """Ask every shard, and merge."""
@@ -204,7 +248,12 @@
         return then
 
     def _found(
-        self, collection: Collection, asked: list[Search], ask: _Ask, settled: Settled, arrived: float,
+        self,
+        collection: Collection,
+        asked: list[Search],
+        ask: _Ask,
+        settled: Settled,
+        arrived: float,
         shape: Callable[[list[Any]], Any],
     ) -> Reply:
         """The reply to searches that have come to their end."""
@@ -236,20 +285,32 @@
     # ---- writes
 
     def _upsert(
-        self, collection: Collection, body: dict[str, Any], request: Request, arrived: float,
+        self,
+        collection: Collection,
+        body: dict[str, Any],
+        request: Request,
+        arrived: float,
     ) -> _Then:
         write = reading.read_upsert(body, collection, self._set.bounds, self._set.shards)
         return self._keyed(collection, write, request, arrived)
 
     def _delete(
-        self, collection: Collection, body: dict[str, Any], request: Request, arrived: float,
+        self,
+        collection: Collection,
+        body: dict[str, Any],
+        request: Request,
+        arrived: float,
     ) -> _Then:
         return self._keyed(
             collection, reading.read_delete(body, self._set.bounds, self._set.shards), request, arrived
         )
 
     def _payload(
-        self, collection: Collection, body: dict[str, Any], request: Request, arrived: float,
+        self,
+        collection: Collection,
+        body: dict[str, Any],
+        request: Request,
+        arrived: float,
     ) -> _Then:
         values = dict(parse_qsl(request.target.partition("?")[2], keep_blank_values=True))
         add = flag(values.get("increment", "0"), "parameter increment")
@@ -268,7 +329,8 @@
         if len(key) > _MOST_KEY or not key.isascii():
             raise RequestError(f"header {KEY_HEADER}: more than {_MOST_KEY} characters, or not ASCII")
         digest = hashlib.blake2b(
-            orjson.dumps([write.kind, sorted(write.by_shard.items())], option=orjson.OPT_SORT_KEYS), digest_size=16,
+            orjson.dumps([write.kind, sorted(write.by_shard.items())], option=orjson.OPT_SORT_KEYS),
+            digest_size=16,
         ).hexdigest()
         name = f"{collection.name}/{key or uuid.uuid4().hex}"
         work = self._work(collection, write, ask)
--- a/gingervane/vectors/points.py
+++ b/gingervane/vectors/points.py
@@ -17,8 +17,17 @@
 PointId = int | str
 MOST_FILTER_DEPTH, MOST_CONDITIONS = 8, 256
 _SEARCH_KEYS = {
-    "vector", "query", "filter", "params", "limit", "offset", "with_payload", "with_vector", "with_vectors",
-    "score_threshold", "shard_key",
+    "vector",
+    "query",
+    "filter",
+    "params",
+    "limit",
+    "offset",
+    "with_payload",
+    "with_vector",
+    "with_vectors",
+    "score_threshold",
+    "shard_key",
 }
 _CONDITION_KEYS = {"key", "match", "range", "has_id", "is_empty", "must", "should", "must_not"}
 _RANGE_KEYS = {"gt", "gte", "lt", "lte"}
@@ -266,7 +275,9 @@
         given = next(iter(match.values()))
         values = given if isinstance(given, list) else [given]
         if isinstance(given, list) == ("value" in match) or not all(isinstance(v, int | str) for v in values):
-            raise RequestError(f"{where}.match: value must be a number, string or boolean; any and except lists")
+            raise RequestError(
+                f"{where}.match: value must be a number, string or boolean; any and except lists"
+            )
     elif isinstance(span, dict) and span and span.keys() <= _RANGE_KEYS:
         for key, number in span.items():
             if number is not None and (type(number) not in (int, float) or not isfinite(number)):
@@ -278,6 +289,7 @@
 
 def passes(point: PointId, payload: dict[str, Any], value: dict[str, Any]) -> bool:
     """Whether a point is let through by a filter that has been checked."""
+
     def all_of(key: str) -> list[Any]:
         found = value.get(key)
         return [c for c in (found if isinstance(found, list) else [found]) if c is not None]
@@ -314,6 +326,8 @@
 def _inside(number: float, span: dict[str, float | None]) -> bool:
     gt, gte, lt, lte = (span.get(key) for key in ("gt", "gte", "lt", "lte"))
     return (
-        (gt is None or number > gt) and (gte is None or number >= gte)
-        and (lt is None or number < lt) and (lte is None or number <= lte)
+        (gt is None or number > gt)
+        and (gte is None or number >= gte)
+        and (lt is None or number < lt)
+        and (lte is None or number <= lte)
     )
--- a/gingervane/vectors/repairer.py
+++ b/gingervane/vectors/repairer.py
@@ -26,9 +26,11 @@
     def marks(self, holder: Holder, place: Place) -> dict[str, Mark] | None:
         found = self._call(holder, "GET", place, "marks", None)
         try:
-            return None if found is None else {
-                str(n): Mark(int(v), int(ops), int(d)) for n, (v, ops, d) in found.items()
-            }
+            return (
+                None
+                if found is None
+                else {str(n): Mark(int(v), int(ops), int(d)) for n, (v, ops, d) in found.items()}
+            )
         except (ValueError, TypeError, AttributeError):
             return None
 
--- a/gingervane/vectors/service.py
+++ b/gingervane/vectors/service.py
@@ -23,8 +23,14 @@
     """A front over a ring of vector nodes, with a list of its own."""
 
     def __init__(
-        self, config: Config, classes: dict[str, ClassOf], cores: CoreMaker, observer: Callable[[str], Observer],
-        address: tuple[str, int], complain: Callable[[str], None], gate: Gate,
+        self,
+        config: Config,
+        classes: dict[str, ClassOf],
+        cores: CoreMaker,
+        observer: Callable[[str], Observer],
+        address: tuple[str, int],
+        complain: Callable[[str], None],
+        gate: Gate,
     ) -> None:
         """`observer` of a core by its name. Raises OSError if the intent log cannot be used."""
         table = config.vectors
@@ -35,21 +41,41 @@
         self.ring = Replicated(
             Ring(tuple(collections), table.cells, table.width, table.quorum, lenient),
             Keys(
-                window, max(table.keep_keys, 2 * window), table.most_keys, table.intents,
+                window,
+                max(table.keep_keys, 2 * window),
+                table.most_keys,
+                table.intents,
                 zlib.crc32(f"{address}".encode()),
             ),
-            Budget(table.repair_rate, 2 * table.repair_rate, table.repair_sweep), config.module_settings(),
-            NodeRemote(cores.pool), lambda settings, seen: cores.make(settings, seen, 7), observer, complain,
+            Budget(table.repair_rate, 2 * table.repair_rate, table.repair_sweep),
+            config.module_settings(),
+            NodeRemote(cores.pool),
+            lambda settings, seen: cores.make(settings, seen, 7),
+            observer,
+            complain,
             classes,
         )
         setting = VectorSetting(
-            collections, table.cells, table.width, table.quorum, table.search_class, table.upsert_class,
-            table.add_class, PointBounds(table.max_k, table.max_points, table.max_searches),
+            collections,
+            table.cells,
+            table.width,
+            table.quorum,
+            table.search_class,
+            table.upsert_class,
+            table.add_class,
+            PointBounds(table.max_k, table.max_points, table.max_searches),
         )
         self.front = VectorFront(self.ring.reads, self.ring.writes, setting, classes, gate)
         self.membership = MembershipService(
-            table.membership, config.fleet, None, Rings(table.cells), address, self.ring.listed,
-            lambda listed: None, complain, random.Random(),
+            table.membership,
+            config.fleet,
+            None,
+            Rings(table.cells),
+            address,
+            self.ring.listed,
+            lambda listed: None,
+            complain,
+            random.Random(),
         )
 
     @property
--- a/gingervane/vectors/topk.py
+++ b/gingervane/vectors/topk.py
@@ -18,6 +18,7 @@
     Ties are broken by id. A point that stands in more than one list (a shard was split, or a replica has not dropped
     what moved) counts once, by its newest version.
     """
+
     def key(point: Point) -> tuple[float, Any]:
         return (-point["score"] if greater_is_nearer else point["score"]), order_of(point["id"])
 
--- a/gingervane/vectors/travel.py
+++ b/gingervane/vectors/travel.py
@@ -55,14 +55,28 @@
 
 
 def request(
-    method: str, target: str, address: tuple[str, int], body: bytes, seconds_left: float,
+    method: str,
+    target: str,
+    address: tuple[str, int],
+    body: bytes,
+    seconds_left: float,
     fields: tuple[tuple[str, str], ...] = (),
 ) -> bytes:
     """A JSON request's bytes."""
-    return http1.head(f"{method} {target} HTTP/1.1", [
-        ("Host", f"{address[0]}:{address[1]}"), ("Content-Type", "application/json"), ("User-Agent", "gingervane"),
-        (TIMEOUT_HEADER, str(max(int(seconds_left * 1000), 1))), ("Content-Length", str(len(body))), *fields,
-    ]) + body
+    return (
+        http1.head(
+            f"{method} {target} HTTP/1.1",
+            [
+                ("Host", f"{address[0]}:{address[1]}"),
+                ("Content-Type", "application/json"),
+                ("User-Agent", "gingervane"),
+                (TIMEOUT_HEADER, str(max(int(seconds_left * 1000), 1))),
+                ("Content-Length", str(len(body))),
+                *fields,
+            ],
+        )
+        + body
+    )
 
 
 def result_of(status: int, header: Callable[[str], str], body: bytes) -> Any:
@@ -92,7 +106,9 @@
         lists = result_of(status, header, body)
         count = sum(len(c.searches) for c in contents)
         if not isinstance(lists, list) or len(lists) != count:
-            raise t.BadReply(f"{len(lists) if isinstance(lists, list) else type(lists).__name__} results for {count}")
+            raise t.BadReply(
+                f"{len(lists) if isinstance(lists, list) else type(lists).__name__} results for {count}"
+            )
         fresh = _freshness(header(FRESH_HEADER.lower()))
         out: list[Hits] = []
         at = iter(lists)
@@ -126,7 +142,11 @@
     """One write request, to each holder of each of its shards."""
 
     def __init__(
-        self, collection: Collection, key: str, version: int, acked: Callable[[int, int], None],
+        self,
+        collection: Collection,
+        key: str,
+        version: int,
+        acked: Callable[[int, int], None],
     ) -> None:
         """`acked` is told of every holder's success, by shard and holder, also of one that comes when nobody waits
         any more; on a sender's thread."""
@@ -137,7 +157,11 @@
         target = f"/collections/{self._collection.name}/points/batch?wait=true"
         fields = ((KEY_HEADER, self._key),) if self._key else ()
         return request(
-            "POST", target, address, orjson.dumps({"operations": operations}), min(seconds_left),
+            "POST",
+            target,
+            address,
+            orjson.dumps({"operations": operations}),
+            min(seconds_left),
             (*fields, (VERSION_HEADER, str(self._version))),
         )
 
--- a/gingervane/wire/http1.py
+++ b/gingervane/wire/http1.py
@@ -280,11 +280,25 @@
 
 
 REASONS = {
-    200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-    406: "Not Acceptable", 408: "Request Timeout", 413: "Content Too Large", 415: "Unsupported Media Type",
-    417: "Expectation Failed", 421: "Misdirected Request", 429: "Too Many Requests",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
-    502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+    200: "OK",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    406: "Not Acceptable",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    415: "Unsupported Media Type",
+    417: "Expectation Failed",
+    421: "Misdirected Request",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
     508: "Loop Detected",
 }
 
--- a/gingervane/wire/local.py
+++ b/gingervane/wire/local.py
@@ -21,7 +21,12 @@
 PASSING = frozenset({errno.EINTR, errno.EAGAIN, errno.ENOMEM, errno.ENOBUFS})
 # A socket, a descriptor, a port or a route is missing here.
 LOCAL = PASSING | {
-    errno.EMFILE, errno.ENFILE, errno.ENOSPC, errno.EADDRNOTAVAIL, errno.ENETDOWN, errno.ENETUNREACH,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOSPC,
+    errno.EADDRNOTAVAIL,
+    errno.ENETDOWN,
+    errno.ENETUNREACH,
 }
 
 
--- a/gingervane/wire/protobuf.py
+++ b/gingervane/wire/protobuf.py
@@ -83,7 +83,9 @@
 def expect(field: Field, kind: int, what: str) -> None:
     """Complain unless a known field has the wire type that its message gives it."""
     if field.kind != kind:
-        raise ProtobufError(f"{what}: field {field.number} has wire type {field.kind}, not {kind}", field.start)
+        raise ProtobufError(
+            f"{what}: field {field.number} has wire type {field.kind}, not {kind}", field.start
+        )
 
 
 def text(data: bytes, field: Field, what: str) -> str:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,6 +16,7 @@
 settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=60, database=None)
 settings.load_profile("fixed")
 
+
 @pytest.fixture
 def platform(tmp_path: Path) -> Iterator[Platform]:
     """A node in this process, two replicas that hold everything, and discovery."""
--- a/tests/faults/judge.py
+++ b/tests/faults/judge.py
@@ -70,7 +70,9 @@
         if not request.status:
             if request.sent_at < ending + 0.5:
                 took = request.answered_at - request.sent_at
-                self._break("lost", f"{request.id}: {request.ended} after {took:.3f} s of {request.timeout:g}")
+                self._break(
+                    "lost", f"{request.id}: {request.ended} after {took:.3f} s of {request.timeout:g}"
+                )
         elif request.answered_at > request.sent_at + request.timeout + LATE:
             late = request.answered_at - request.sent_at - request.timeout
             self._break("lost", f"{request.id}: answered {late:.3f} s late", timed=True)
@@ -82,7 +84,9 @@
         runs: dict[str, int] = defaultdict(int)
         for seen in self._parts[request.id]:
             if seen.at > end + AFTER_END and not self._was_held(request.node, end - 0.05, seen.at):
-                self._break("lost", f"{seen.id} sent {seen.at - end:.3f} s after the end of its request", timed=True)
+                self._break(
+                    "lost", f"{seen.id} sent {seen.at - end:.3f} s after the end of its request", timed=True
+                )
             left = request.sent_at + request.timeout - seen.at
             held = self._was_held(request.node, seen.at - 0.2, seen.at)
             if seen.wait > max(left, 0.0) + DEADLINE_SLACK and not held:
@@ -94,7 +98,9 @@
         for part, count in runs.items():
             ran = count - len(self._skipped[part])
             if ran > 1:
-                self._break("duplicate", f"unsafe {part} sent {count} times, {len(self._skipped[part])} skipped")
+                self._break(
+                    "duplicate", f"unsafe {part} sent {count} times, {len(self._skipped[part])} skipped"
+                )
             if ran > 0 and request.status in (429, 503):
                 self._break("duplicate", f"{request.id} refused though {part} may have run")
 
@@ -161,7 +167,9 @@
         steps = [seen for seen in self._parts[request.id] if seen.id.endswith(".b")]
         if not steps:
             count = len(request.pieces)
-            self._break("partial", f"{request.id}: {count} pieces, full={request.full}, and no second step was asked")
+            self._break(
+                "partial", f"{request.id}: {count} pieces, full={request.full}, and no second step was asked"
+            )
             return
         first = [word for word in steps[0].words["from"].split("+") if word]
         wanted = min(kind.second_step_parts, len(first))
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -72,26 +72,49 @@
         """As the platform hands them to the `number`-th node."""
         classes = self.classes
         return {
-            "Balancers": self.nodes, "Locality": 0, "Ordinal": number, "GranularityS": 0.005,
-            "MembershipMode": "ask" if self.may_ask else "push", "Zones": ["a", "b"],
+            "Balancers": self.nodes,
+            "Locality": 0,
+            "Ordinal": number,
+            "GranularityS": 0.005,
+            "MembershipMode": "ask" if self.may_ask else "push",
+            "Zones": ["a", "b"],
             "Classes": [
-                {"Name": c.name, "AimS": c.aim, "DeadlineS": c.deadline, "Semantics": c.semantics,
-                 "LateWorth": 0.3} | ({"WindowS": 1.0} if c.semantics == "keyed" else {})
+                {
+                    "Name": c.name,
+                    "AimS": c.aim,
+                    "DeadlineS": c.deadline,
+                    "Semantics": c.semantics,
+                    "LateWorth": 0.3,
+                }
+                | ({"WindowS": 1.0} if c.semantics == "keyed" else {})
                 for c in classes
             ],
             "Extra": {
                 "ClassFetch": [c.second_step_parts for c in classes],
-                "MinShare": [c.least_share for c in classes], "WholeAt": [c.whole_share for c in classes],
-                "ShortWorth": [0.9] * len(classes), "PerCall": self.parts_per_call, "Sets": 1,
-                "Shards": self.shards, "Width": 1,
+                "MinShare": [c.least_share for c in classes],
+                "WholeAt": [c.whole_share for c in classes],
+                "ShortWorth": [0.9] * len(classes),
+                "PerCall": self.parts_per_call,
+                "Sets": 1,
+                "Shards": self.shards,
+                "Width": 1,
             },
             "Limits": {
-                "Cancelling": self.may_cancel, "ConnIdleS": 15.0, "ConnectTimeoutS": 0.25,
-                "MaxRetryAfterS": 0.5, "Peers": False, "RetryAfter": True, "SecondCopies": self.may_copy,
-                "SendCap": 3, "StreamsPerConn": 32,
+                "Cancelling": self.may_cancel,
+                "ConnIdleS": 15.0,
+                "ConnectTimeoutS": 0.25,
+                "MaxRetryAfterS": 0.5,
+                "Peers": False,
+                "RetryAfter": True,
+                "SecondCopies": self.may_copy,
+                "SendCap": 3,
+                "StreamsPerConn": 32,
             },
             "Rules": {
-                "RampTimeS": 1.0, "StartCapacity": 0.2, "FallS": 1.5, "TipMultiple": 4.0,
+                "RampTimeS": 1.0,
+                "StartCapacity": 0.2,
+                "FallS": 1.5,
+                "TipMultiple": 4.0,
                 "StopSendingWithinS": 0.5,
             },
         }
@@ -112,17 +135,33 @@
     level = chance.choice((0.01, 0.05, 0.15))
     faults = tuple(_replica(chance, level) for _ in range(replicas))
     proxies = ProxyFaults(
-        reset=level * chance.choice((0, 0.5, 1)), split=chance.choice((0, 0.2, 0.8)),
-        delay=level, longest_delay=aim / 2, stuck=level / 20,
+        reset=level * chance.choice((0, 0.5, 1)),
+        split=chance.choice((0, 0.2, 0.8)),
+        delay=level,
+        longest_delay=aim / 2,
+        stuck=level / 20,
     )
     return Plan(
-        seed, nodes, replicas, classes, seconds, chance.choice((40.0, 100.0, 180.0)),
-        chance.choice((1, 3, 8)), chance.random() < 0.8, chance.random() < 0.8, chance.random() < 0.7,
-        chance.choice((4, 8, 12)), faults, proxies, chance.choice((0.0, 0.03, 0.1)),
-        stops=tuple(sorted(
-            (chance.uniform(0.2, seconds), chance.randrange(nodes), chance.choice((0.02, 0.06, 0.12)))
-            for _ in range(chance.choice((0, 3, 10)))
-        )),
+        seed,
+        nodes,
+        replicas,
+        classes,
+        seconds,
+        chance.choice((40.0, 100.0, 180.0)),
+        chance.choice((1, 3, 8)),
+        chance.random() < 0.8,
+        chance.random() < 0.8,
+        chance.random() < 0.7,
+        chance.choice((4, 8, 12)),
+        faults,
+        proxies,
+        chance.choice((0.0, 0.03, 0.1)),
+        stops=tuple(
+            sorted(
+                (chance.uniform(0.2, seconds), chance.randrange(nodes), chance.choice((0.02, 0.06, 0.12)))
+                for _ in range(chance.choice((0, 3, 10)))
+            )
+        ),
         changes=_changes(chance, replicas, seconds),
         terminate=((chance.uniform(0.5, seconds), 0),) if chance.random() < 0.2 else (),
         kill=((chance.uniform(0.5, seconds), nodes - 1),) if nodes > 1 and chance.random() < 0.15 else (),
@@ -139,8 +178,14 @@
 def _replica(chance: random.Random, level: float) -> ReplicaFaults:
     bad = level * chance.choice((0, 0.3, 1))
     return ReplicaFaults(
-        latency=chance.choice((0.005, 0.02, 0.05)), slow=chance.choice((0.0, 0.1, 0.4)), broke=bad,
-        skipped=bad / 2, silent=bad / 2, spoilt=bad / 2, closes=bad, doubled=bad / 4,
+        latency=chance.choice((0.005, 0.02, 0.05)),
+        slow=chance.choice((0.0, 0.1, 0.4)),
+        broke=bad,
+        skipped=bad / 2,
+        silent=bad / 2,
+        spoilt=bad / 2,
+        closes=bad,
+        doubled=bad / 4,
     )
 
 
--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -98,7 +98,13 @@
     """Carries the connections of one node to one replica."""
 
     def __init__(
-        self, target: tuple[str, int], node: int, replica: int, faults: ProxyFaults, seed: str, ledger: Ledger,
+        self,
+        target: tuple[str, int],
+        node: int,
+        replica: int,
+        faults: ProxyFaults,
+        seed: str,
+        ledger: Ledger,
     ) -> None:
         self._target, self._node, self._replica = target, node, replica
         self._faults, self._seed, self._ledger = faults, seed, ledger
@@ -128,8 +134,12 @@
                     ).start()
 
     def _pump(
-        self, source: socket.socket, sink: socket.socket, read: Callable[[bytes, float], None],
-        written: Callable[[bytes], None], chance: random.Random,
+        self,
+        source: socket.socket,
+        sink: socket.socket,
+        read: Callable[[bytes, float], None],
+        written: Callable[[bytes], None],
+        chance: random.Random,
     ) -> None:
         """Bytes are read, and written down, as they come; another thread passes them on, late if it has to."""
         waiting: SimpleQueue[bytes] = SimpleQueue()
@@ -147,8 +157,12 @@
         waiting.put(b"")
 
     def _carry(
-        self, waiting: SimpleQueue[bytes], source: socket.socket, sink: socket.socket,
-        written: Callable[[bytes], None], chance: random.Random,
+        self,
+        waiting: SimpleQueue[bytes],
+        source: socket.socket,
+        sink: socket.socket,
+        written: Callable[[bytes], None],
+        chance: random.Random,
     ) -> None:
         faults = self._faults
         try:
@@ -178,7 +192,11 @@
             sock.close()
 
     def _pass_on(
-        self, sink: socket.socket, data: bytes, written: Callable[[bytes], None], chance: random.Random,
+        self,
+        sink: socket.socket,
+        data: bytes,
+        written: Callable[[bytes], None],
+        chance: random.Random,
     ) -> None:
         pieces = [data]
         if len(data) > 1 and chance.random() < self._faults.split:
@@ -199,9 +217,7 @@
             if letter == b"q":
                 for part, shard, words, _ in parse_call(rest):
                     wait = int(words["d"]) / 1000
-                    self._ledger.put(
-                        PartSeen(came[0], self._node, self._replica, part, shard, wait, words)
-                    )
+                    self._ledger.put(PartSeen(came[0], self._node, self._replica, part, shard, wait, words))
 
         tap = FrameTap(call)
 
--- a/tests/faults/replicas.py
+++ b/tests/faults/replicas.py
@@ -39,13 +39,21 @@
 def _spoilt(part: str, chance: random.Random) -> bytes:
     """An answer that cannot be read."""
     good = f"{part} served {score_of(part)} -\n{cell_of(part)}".encode()
-    return chance.choice((
-        _frame(b"z", good), _frame(b"a", good[:-3]), _frame(b"a", good + b"0"), _frame(b"a", good.upper()),
-        struct.pack("<I", 3 << 30) + b"a" + good, struct.pack("<I", 40000) + b"a" + good,
-        _frame(b"a", b"nobody.77 served 1 -\n" + cell_of(part).encode()),
-        _frame(b"a", good.replace(b" served ", b" served-ish ")), _frame(b"a", good.replace(b"\n", b" ")),
-        chance.randbytes(40), _frame(b"a", good.replace(b" -\n", b"\n")),
-    ))
+    return chance.choice(
+        (
+            _frame(b"z", good),
+            _frame(b"a", good[:-3]),
+            _frame(b"a", good + b"0"),
+            _frame(b"a", good.upper()),
+            struct.pack("<I", 3 << 30) + b"a" + good,
+            struct.pack("<I", 40000) + b"a" + good,
+            _frame(b"a", b"nobody.77 served 1 -\n" + cell_of(part).encode()),
+            _frame(b"a", good.replace(b" served ", b" served-ish ")),
+            _frame(b"a", good.replace(b"\n", b" ")),
+            chance.randbytes(40),
+            _frame(b"a", good.replace(b" -\n", b"\n")),
+        )
+    )
 
 
 class Alarm:
@@ -84,7 +92,12 @@
     """One replica; `slow_times`: seconds among which a slow answer's time is drawn."""
 
     def __init__(
-        self, number: int, faults: ReplicaFaults, slow_times: tuple[float, float], seed: int, alarm: Alarm,
+        self,
+        number: int,
+        faults: ReplicaFaults,
+        slow_times: tuple[float, float],
+        seed: int,
+        alarm: Alarm,
         ledger: Ledger,
     ) -> None:
         self._faults, self._slow, self._alarm, self._ledger = faults, slow_times, alarm, ledger
@@ -120,8 +133,12 @@
             took = chance.uniform(*self._slow)
         due = time.monotonic() + took
         kinds = (
-            ("silent", faults.silent), ("broke", faults.broke), ("skipped", faults.skipped),
-            ("spoilt", faults.spoilt), ("closes", faults.closes), ("doubled", faults.doubled),
+            ("silent", faults.silent),
+            ("broke", faults.broke),
+            ("skipped", faults.skipped),
+            ("spoilt", faults.spoilt),
+            ("closes", faults.closes),
+            ("doubled", faults.doubled),
         )
         kind = "good"
         for name, share in kinds:
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -69,30 +69,60 @@
 class Node:
     """One node's process, and what stands around it alone."""
 
-    def __init__(self, plan: Plan, number: int, replicas: list[Replica], ledger: Ledger, folder: Path, root: Path,
-                 python: str, env: dict[str, str]) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        number: int,
+        replicas: list[Replica],
+        ledger: Ledger,
+        folder: Path,
+        root: Path,
+        python: str,
+        env: dict[str, str],
+    ) -> None:
         self.number = number
         self.proxies = [
             Proxy(r.address, number, i, plan.proxy_faults, f"{plan.seed}/{number}/{i}", ledger)
             for i, r in enumerate(replicas)
         ]
-        self.discovery = Discovery([
-            {"host": f"s-{i}", "dial": f"127.0.0.1:{proxy.port}", "site": "ab"[i % 2], "class": "m", "block": 0,
-             "health": "SERVING", "share": 1.0, "born_ms": 0}
-            for i, proxy in enumerate(self.proxies)
-        ])
+        self.discovery = Discovery(
+            [
+                {
+                    "host": f"s-{i}",
+                    "dial": f"127.0.0.1:{proxy.port}",
+                    "site": "ab"[i % 2],
+                    "class": "m",
+                    "block": 0,
+                    "health": "SERVING",
+                    "share": 1.0,
+                    "born_ms": 0,
+                }
+                for i, proxy in enumerate(self.proxies)
+            ]
+        )
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address: tuple[str, int] = free.getsockname()[:2]
         path = folder / f"n{number}.json"
-        path.write_text(json.dumps({
-            "name": f"n{number}", "listen": "{}:{}".format(*self.address), "discovery": self.discovery.address,
-            "seed": f"{plan.seed:x}", "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
-            "known": {"seq": 0, "whole": True, "hosts": self.discovery.hosts}, "settings": plan.settings(number),
-        }))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": f"n{number}",
+                    "listen": "{}:{}".format(*self.address),
+                    "discovery": self.discovery.address,
+                    "seed": f"{plan.seed:x}",
+                    "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
+                    "known": {"seq": 0, "whole": True, "hosts": self.discovery.hosts},
+                    "settings": plan.settings(number),
+                }
+            )
+        )
         self.log = folder / f"n{number}.log"
         with self.log.open("w") as log:
             self.process = subprocess.Popen(
-                [python, "-m", "gingervane.node"], cwd=root, stderr=log, stdin=subprocess.DEVNULL,
+                [python, "-m", "gingervane.node"],
+                cwd=root,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
                 env={"NODE_CONFIG": str(path), "PATH": os.environ["PATH"], **env},
             )
         self.told_to_end = False
@@ -207,7 +237,9 @@
         return fields.get("connection") != "close"
 
 
-def play(plan: Plan, root: Path = ROOT, python: str = sys.executable, env: dict[str, str] | None = None) -> Result:
+def play(
+    plan: Plan, root: Path = ROOT, python: str = sys.executable, env: dict[str, str] | None = None
+) -> Result:
     """Play a plan to its end and judge it."""
     ledger, alarm, before = Ledger(), Alarm(), processor_times()
     aim = max(c.aim for c in plan.classes)
@@ -237,8 +269,17 @@
     broken = [b for b in found if b not in doubtful]
     statuses = Counter(r.status for r in ledger.requests if r.left_at is None)
     return Result(
-        plan.seed, broken, doubtful, len(ledger.requests), statuses, Counter(ledger.faults), judge.second_steps,
-        judge.short, len(ledger.parts), early, stolen,
+        plan.seed,
+        broken,
+        doubtful,
+        len(ledger.requests),
+        statuses,
+        Counter(ledger.faults),
+        judge.second_steps,
+        judge.short,
+        len(ledger.parts),
+        early,
+        stolen,
     )
 
 
@@ -259,7 +300,8 @@
     start = time.monotonic()
     clients = [
         threading.Thread(target=Client(plan, node, i, ledger, start + plan.seconds).run, daemon=True)
-        for node in nodes for i in range(CLIENTS)
+        for node in nodes
+        for i in range(CLIENTS)
     ]
     events: list[tuple[float, str, Any]] = [(at, "stop", (node, span)) for at, node, span in plan.stops]
     events += [(at, "change", (replica, health)) for at, replica, health in plan.changes]
@@ -334,8 +376,15 @@
         )
         for run in runs:
             total.update(doubtful=len(run.doubtful), starved_runs=run.stolen > MOST_STOLEN)
-            total.update(runs=1, requests=run.requests, attempts=run.attempts, second_steps=run.second_steps,
-                         short=run.short, ended_early=len(run.ended_early), runs_broken=bool(run.broken))
+            total.update(
+                runs=1,
+                requests=run.requests,
+                attempts=run.attempts,
+                second_steps=run.second_steps,
+                short=run.short,
+                ended_early=len(run.ended_early),
+                runs_broken=bool(run.broken),
+            )
             rules.update(b.rule for b in run.broken)
             statuses.update(run.statuses)
             faults.update(run.faults)
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -26,16 +26,38 @@
 
 
 BASE = api.Settings(
-    coordinators=3, zone=0, classes=(query_class(),), tenant_quotas=(), granularity=0.005,
-    cells=1, width=1, parts_per_call=1, most_attempts=3, may_cancel=True,
-    may_message_peers=False, may_copy=True, may_advise_wait=True, longest_wait_advice=1.0,
-    must_ask_membership=False, start_capacity=0.2, ramp_time=16.0,
-    fall_time=2.0, fall_multiple=4.0, budget_free=None, budget_share=None, budget_span=None,
+    coordinators=3,
+    zone=0,
+    classes=(query_class(),),
+    tenant_quotas=(),
+    granularity=0.005,
+    cells=1,
+    width=1,
+    parts_per_call=1,
+    most_attempts=3,
+    may_cancel=True,
+    may_message_peers=False,
+    may_copy=True,
+    may_advise_wait=True,
+    longest_wait_advice=1.0,
+    must_ask_membership=False,
+    start_capacity=0.2,
+    ramp_time=16.0,
+    fall_time=2.0,
+    fall_multiple=4.0,
+    budget_free=None,
+    budget_share=None,
+    budget_span=None,
 )
 
 
-def replica(number: int, cell: int = 0, zone: int = 0, state: api.ReplicaState = READY, started: float = 0.0,
-            ) -> api.Replica:
+def replica(
+    number: int,
+    cell: int = 0,
+    zone: int = 0,
+    state: api.ReplicaState = READY,
+    started: float = 0.0,
+) -> api.Replica:
     return api.Replica(number, cell, zone, 1.0, state, started)
 
 
@@ -184,8 +206,11 @@
 
     def maybe_ran(self, part: int) -> list[float]:
         """When the attempts that may have run were sent."""
-        return [at for n, (at, _) in enumerate(self.sends[part])
-                if (part, n) not in self.results or not self.results[part, n].never_ran]
+        return [
+            at
+            for n, (at, _) in enumerate(self.sends[part])
+            if (part, n) not in self.results or not self.results[part, n].never_ran
+        ]
 
     def _check_refusal(self, query: int) -> None:
         kind = self.settings.classes[self.classes[query]]
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -67,7 +67,10 @@
 def start_node(config: Path) -> subprocess.Popen[str]:
     """A node as a program of its own; its log is read from `stderr`."""
     return subprocess.Popen(
-        [sys.executable, "-m", "gingervane.node"], env={"NODE_CONFIG": str(config)}, cwd=ROOT, text=True,
+        [sys.executable, "-m", "gingervane.node"],
+        env={"NODE_CONFIG": str(config)},
+        cwd=ROOT,
+        text=True,
         stderr=subprocess.PIPE,
     )
 
@@ -101,7 +104,12 @@
             self.sock.sendall(data)
 
     def answer(
-        self, part: str, end: str = "served", score: int = 7, report: str = "-", value: bytes = b"",
+        self,
+        part: str,
+        end: str = "served",
+        score: int = 7,
+        report: str = "-",
+        value: bytes = b"",
     ) -> None:
         self.raw(answer(part, end, score, report, value))
 
@@ -263,13 +271,23 @@
 
 def host(replica: Replica, name: str = "", health: str = "SERVING") -> dict[str, Any]:
     return {
-        "host": name or f"s-{replica.port}", "dial": f"127.0.0.1:{replica.port}", "site": "a", "class": "m",
-        "block": replica.cell, "health": health, "share": 1.0, "born_ms": 0,
+        "host": name or f"s-{replica.port}",
+        "dial": f"127.0.0.1:{replica.port}",
+        "site": "a",
+        "class": "m",
+        "block": replica.cell,
+        "health": health,
+        "share": 1.0,
+        "born_ms": 0,
     }
 
 
 SETTINGS: dict[str, Any] = {
-    "Balancers": 1, "Locality": 0, "Ordinal": 0, "GranularityS": 0.005, "MembershipMode": "ask",
+    "Balancers": 1,
+    "Locality": 0,
+    "Ordinal": 0,
+    "GranularityS": 0.005,
+    "MembershipMode": "ask",
     "Zones": ["a", "b"],
     "Classes": [
         {"Name": "look", "AimS": 2.0, "DeadlineS": 6.0, "Semantics": "safe", "LateWorth": 0.0},
@@ -277,12 +295,25 @@
         {"Name": "book", "AimS": 2.0, "DeadlineS": 6.0, "Semantics": "unsafe", "LateWorth": 0.0},
     ],
     "Extra": {
-        "ClassFetch": [0, 2, 0], "MinShare": [1.0] * 3, "WholeAt": [1.0] * 3, "ShortWorth": [1.0] * 3,
-        "PerCall": 1, "Sets": 1, "Shards": 4, "Width": 1,
+        "ClassFetch": [0, 2, 0],
+        "MinShare": [1.0] * 3,
+        "WholeAt": [1.0] * 3,
+        "ShortWorth": [1.0] * 3,
+        "PerCall": 1,
+        "Sets": 1,
+        "Shards": 4,
+        "Width": 1,
     },
     "Limits": {
-        "Cancelling": True, "ConnIdleS": 15.0, "ConnectTimeoutS": 0.25, "MaxRetryAfterS": 0.5, "Peers": False,
-        "RetryAfter": True, "SecondCopies": True, "SendCap": 3, "StreamsPerConn": 32,
+        "Cancelling": True,
+        "ConnIdleS": 15.0,
+        "ConnectTimeoutS": 0.25,
+        "MaxRetryAfterS": 0.5,
+        "Peers": False,
+        "RetryAfter": True,
+        "SecondCopies": True,
+        "SendCap": 3,
+        "StreamsPerConn": 32,
     },
     "Rules": {"RampTimeS": 1.0, "StartCapacity": 0.2, "FallS": 1.5, "TipMultiple": 4.0},
 }
@@ -292,7 +323,11 @@
     """Two replicas that hold everything, discovery, and one node, told of both from the start."""
 
     def __init__(
-        self, folder: Path, *replicas: Replica, sockets: int = 256, settings: Any = SETTINGS,
+        self,
+        folder: Path,
+        *replicas: Replica,
+        sockets: int = 256,
+        settings: Any = SETTINGS,
         where: tuple[str, int] | None = None,
     ) -> None:
         """`where`: of a discovery that the test plays itself."""
@@ -308,17 +343,29 @@
     def configure(self, discovery: Discovery | str) -> None:
         address = discovery if isinstance(discovery, str) else discovery.address
         known = {"seq": 0, "whole": True, "hosts": [host(r) for r in self.replicas]}
-        self.path.write_text(json.dumps({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": address, "seed": "5",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets}, "known": known,
-            "settings": self.settings,
-        }))
+        self.path.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": "127.0.0.1:0",
+                    "discovery": address,
+                    "seed": "5",
+                    "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets},
+                    "known": known,
+                    "settings": self.settings,
+                }
+            )
+        )
 
     def client(self) -> socket.socket:
         return socket.create_connection(self.node.server.address, PATIENCE)
 
     def ask(
-        self, name: str, tablets: dict[int, float], path: str = "/look", sock: socket.socket | None = None,
+        self,
+        name: str,
+        tablets: dict[int, float],
+        path: str = "/look",
+        sock: socket.socket | None = None,
         wait: int = 6000,
     ) -> tuple[int, dict[str, str], Any]:
         """One query and its answer, on a connection of its own unless one is given."""
--- a/tests/test_answers_property.py
+++ b/tests/test_answers_property.py
@@ -66,13 +66,22 @@
     """Settings are drawn once; then anything may come."""
 
     @initialize(
-        shares=st.tuples(st.sampled_from(SHARES), st.sampled_from(SHARES)), second=st.tuples(
-            st.integers(0, 3), st.integers(0, 3)),
-        late=st.sampled_from([0.0, 0.3, 1.0]), semantics=st.sampled_from(list(api.Semantics)),
-        per_call=st.sampled_from([1, 3, 8]), copies=st.booleans(), cancels=st.booleans(),
+        shares=st.tuples(st.sampled_from(SHARES), st.sampled_from(SHARES)),
+        second=st.tuples(st.integers(0, 3), st.integers(0, 3)),
+        late=st.sampled_from([0.0, 0.3, 1.0]),
+        semantics=st.sampled_from(list(api.Semantics)),
+        per_call=st.sampled_from([1, 3, 8]),
+        copies=st.booleans(),
+        cancels=st.booleans(),
     )
     def begin(
-        self, shares: Any, second: Any, late: float, semantics: api.Semantics, per_call: int, copies: bool,
+        self,
+        shares: Any,
+        second: Any,
+        late: float,
+        semantics: api.Semantics,
+        per_call: int,
+        copies: bool,
         cancels: bool,
     ) -> None:
         window = 1.0 if semantics is api.Semantics.KEYED else None
@@ -82,7 +91,10 @@
             for (least, whole), count, meaning in drawn
         )
         config = BASE._replace(
-            classes=self.classes, coordinators=1, parts_per_call=per_call, may_copy=copies,
+            classes=self.classes,
+            coordinators=1,
+            parts_per_call=per_call,
+            may_copy=copies,
             may_cancel=cancels,
         )
         self.driver, self.now = Driver(Coordinator(config, 5), config), 100.0
@@ -93,8 +105,12 @@
 
     # ---- what comes
 
-    @rule(kind=st.integers(0, 1), weights=st.lists(st.sampled_from([1.0, 1.0, 3.0]), min_size=1, max_size=6),
-          time=st.sampled_from([0.1, 0.6, 2.0]), hold=st.booleans())
+    @rule(
+        kind=st.integers(0, 1),
+        weights=st.lists(st.sampled_from([1.0, 1.0, 3.0]), min_size=1, max_size=6),
+        time=st.sampled_from([0.1, 0.6, 2.0]),
+        hold=st.booleans(),
+    )
     def arrive(self, kind: int, weights: list[float], time: float, hold: bool) -> None:
         number, total = len(self.books) + 1, sum(weights)
         shares = {shard: round(weight / total, 6) for shard, weight in enumerate(weights)}
@@ -103,14 +119,21 @@
         parts = tuple(t.PartPlan(s, w, Content(number, 1, s)) for s, w in shares.items())
         has_second = self.classes[kind].second_step_parts > 0
         plan = t.QueryPlan(
-            kind, book.deadline, parts, TRAVEL, second_step=self._second_step(number) if has_second else None,
+            kind,
+            book.deadline,
+            parts,
+            TRAVEL,
+            second_step=self._second_step(number) if has_second else None,
         )
         self.pending.append(t.Arrived(number, plan, book.finals.append))
         if not hold:
             self.turn()
 
-    @rule(picks=st.lists(st.integers(0, 1 << 16), min_size=1, max_size=8),
-          outcome=st.sampled_from([api.Outcome.OK] * 8 + FAILURES), hold=st.booleans())
+    @rule(
+        picks=st.lists(st.integers(0, 1 << 16), min_size=1, max_size=8),
+        outcome=st.sampled_from([api.Outcome.OK] * 8 + FAILURES),
+        hold=st.booleans(),
+    )
     def end(self, picks: list[int], outcome: api.Outcome, hold: bool) -> None:
         for pick in picks:
             if not self.out:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -16,17 +16,33 @@
 from gingervane.lab.scenario import Scenario, load, names
 
 DAY: dict[str, Any] = {
-    "name": "small", "seed": 3, "seconds": 8,
+    "name": "small",
+    "seed": 3,
+    "seconds": 8,
     "nodes": {
-        "count": 6, "tiles": 12, "work": 0.02, "queue": 400, "start_capacity": 0.06, "ramp_time": 6.0,
-        "fall_multiple": 1.5, "fall_time": 0.5,
+        "count": 6,
+        "tiles": 12,
+        "work": 0.02,
+        "queue": 400,
+        "start_capacity": 0.06,
+        "ramp_time": 6.0,
+        "fall_multiple": 1.5,
+        "fall_time": 0.5,
     },
     "list": {"notice": 0.2, "silent_notice": 0.2, "add": 0.1},
     "coordinators": {"count": 1, "budget_free": 4, "budget_share": 0.05, "budget_span": 2.0},
     "clients": {"rate": 40, "retries": 1, "backoff": 0.1, "impatient": 0.0},
     "class": [
-        {"name": "part", "share": 2, "tiles": [6, 6], "aim": 0.8, "deadline": 2.0, "least_share": 0.5,
-         "late_worth": 0.3, "partial": True},
+        {
+            "name": "part",
+            "share": 2,
+            "tiles": [6, 6],
+            "aim": 0.8,
+            "deadline": 2.0,
+            "least_share": 0.5,
+            "late_worth": 0.3,
+            "partial": True,
+        },
         {"name": "unsafe", "share": 1, "tiles": [1, 2], "aim": 0.8, "deadline": 2.0, "semantics": "unsafe"},
     ],
     "trouble": [
@@ -47,7 +63,9 @@
 
 # By Consul: drains with both agents well, and with one that hangs or lags; then neither answers.
 CONSUL: dict[str, Any] = DAY | {
-    "name": "consul", "consul": {"agents": 2, "wait": 3}, "coordinators": {"count": 2},
+    "name": "consul",
+    "consul": {"agents": 2, "wait": 3},
+    "coordinators": {"count": 2},
     "class": [{"name": "part", "tiles": [2, 4], "aim": 0.8, "deadline": 2.0}],
     "clients": {"rate": 25, "impatient": 0.0},
     "trouble": [
@@ -62,7 +80,9 @@
 
 # Both fronts: writes while answers are lost, connections reset and a node is away.
 WRITES: dict[str, Any] = DAY | {
-    "name": "writes", "seconds": 6, "coordinators": {"count": 2},
+    "name": "writes",
+    "seconds": 6,
+    "coordinators": {"count": 2},
     # A node that must do every write, and that no list says is cold, is not to be pushed over by them.
     "nodes": {"count": 6, "tiles": 12, "work": 0.002, "queue": 400, "start_capacity": 0.5, "ramp_time": 4.0},
     "vectors": {"upserts": 16, "adds": 12, "searches": 6, "fixed": 60, "window": 4},
@@ -81,7 +101,10 @@
 # none where the machine is busy. At half as much again it pushes over all three (six of six).
 COLD: dict[str, Any] = DAY | {"clients": DAY["clients"] | {"rate": 60}}
 DAYS = {
-    **{breaks: DAY for breaks in ("", *RULES)}, "cold": COLD, "consul/": CONSUL, "consul/drain": CONSUL,
+    **{breaks: DAY for breaks in ("", *RULES)},
+    "cold": COLD,
+    "consul/": CONSUL,
+    "consul/drain": CONSUL,
     "writes/": WRITES,
     "writes/duplicate": WRITES,
 }
@@ -144,20 +167,41 @@
         load(str(path))
     lines = str(caught.value).splitlines()
     assert lines == [
-        f"{path}: class[0].aim: 2 s is past the deadline of 1 s", f"{path}: trouble[0].seconds: missing",
+        f"{path}: class[0].aim: 2 s is past the deadline of 1 s",
+        f"{path}: trouble[0].seconds: missing",
     ]
 
 
 def test_a_bench_day_is_mapped_or_named(tmp_path: Path) -> None:
     kinds = ["crash", "shared_slow", "pauses", "heavy_tail", "balancer_crash", "zone_loss", "something new"]
     day = {
-        "site": "s", "kind": "trouble", "noise": 5, "length": 80_000_000, "zones": ["a", "b"],
-        "servers": [{"zone": i % 2} for i in range(20)], "balancers": [{}] * 6, "front_notice": 1_000_000,
-        "traffic": {"load": 0.5}, "drain_grace": 500_000, "fall_multiple": 4.0, "fall_for": 1_500_000,
+        "site": "s",
+        "kind": "trouble",
+        "noise": 5,
+        "length": 80_000_000,
+        "zones": ["a", "b"],
+        "servers": [{"zone": i % 2} for i in range(20)],
+        "balancers": [{}] * 6,
+        "front_notice": 1_000_000,
+        "traffic": {"load": 0.5},
+        "drain_grace": 500_000,
+        "fall_multiple": 4.0,
+        "fall_for": 1_500_000,
         "clients": {"retries": 1, "try_share": 0.8, "backoff_us": 1e5, "honour": 0.5, "impatient": 0.0},
-        "discovery": {"notice": 1e6, "silent_notice": 5e6, "add": 1e6}, "allow": {"max_attempts": 3},
-        "classes": [{"name": "r", "share": 1.0, "aim": 1e6, "deadline": 3e6, "worth": 1.0, "late_worth": 0.0,
-                     "effect": "safe", "window": 0}],
+        "discovery": {"notice": 1e6, "silent_notice": 5e6, "add": 1e6},
+        "allow": {"max_attempts": 3},
+        "classes": [
+            {
+                "name": "r",
+                "share": 1.0,
+                "aim": 1e6,
+                "deadline": 3e6,
+                "worth": 1.0,
+                "late_worth": 0.0,
+                "effect": "safe",
+                "window": 0,
+            }
+        ],
         "tiers": [{"kinds": [{"queue": 30, "cold_from": 0.3, "cold": 1e7}]}],
         "fam": {"shards": 40, "replicas": 3, "batch": 4, "asks": [{"parts": 10, "floor": 0.8}]},
         "troubles": [{"kind": k, "at": 4e6, "len": 1e7, "size": 1.5, "on": [1, 3], "how": ""} for k in kinds],
--- a/tests/test_audit_held.py
+++ b/tests/test_audit_held.py
@@ -19,18 +19,29 @@
 HELD = day((9.5, 2, "SIGSTOP"), (10.1, 2, "SIGCONT"))
 
 
-@pytest.mark.parametrize(("sent", "status", "replied", "coordinator", "excused"), [
-    (9.0, 504, 10.12, 2, True),  # its time, 1 s, ran out at 10.0 while it was stopped
-    (9.0, 200, 10.12, 2, False),  # an answer is no failure
-    (9.0, 504, 10.4, 2, False),  # not at once
-    (8.4, 504, 10.12, 2, False),  # its time had run out before
-    (9.0, 504, 10.12, 1, False),  # another one was stopped
-    (9.3, 504, 10.9, 2, False),  # past what only earns nothing
-])
+@pytest.mark.parametrize(
+    ("sent", "status", "replied", "coordinator", "excused"),
+    [
+        (9.0, 504, 10.12, 2, True),  # its time, 1 s, ran out at 10.0 while it was stopped
+        (9.0, 200, 10.12, 2, False),  # an answer is no failure
+        (9.0, 504, 10.4, 2, False),  # not at once
+        (8.4, 504, 10.12, 2, False),  # its time had run out before
+        (9.0, 504, 10.12, 1, False),  # another one was stopped
+        (9.3, 504, 10.9, 2, False),  # past what only earns nothing
+    ],
+)
 def test_only_what_ran_out_in_a_hold_may_fail_late(
-    sent: float, status: int, replied: float, coordinator: int, excused: bool,
+    sent: float,
+    status: int,
+    replied: float,
+    coordinator: int,
+    excused: bool,
 ) -> None:
     record: dict[str, Any] = {
-        "sent": sent, "timeout": 1.0, "status": status, "replies": [replied], "coordinator": coordinator,
+        "sent": sent,
+        "timeout": 1.0,
+        "status": status,
+        "replies": [replied],
+        "coordinator": coordinator,
     }
     assert _failed_late_as_it_was_held(HELD, record) is excused
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -109,8 +109,18 @@
 
 
 def test_a_table_number_is_resolved_where_it_is_used() -> None:
-    first = frame(10.0, 1, about(0), launch(), table(0, 77), endpoints(0, 2), about(1), launch(),
-                  table(0, 88), endpoints(0, 2))
+    first = frame(
+        10.0,
+        1,
+        about(0),
+        launch(),
+        table(0, 77),
+        endpoints(0, 2),
+        about(1),
+        launch(),
+        table(0, 88),
+        endpoints(0, 2),
+    )
     ask = [item(5, -1.0, 0.0, 1.0), item(6, 0.0, 0.0, 1.0)]
     replies = run(first + frame(10.1, 2, about(0), *ask, about(1), *ask))
     assert struct.pack("<BQI", 64, 6, 77) in replies[1][2] and struct.pack("<BQI", 64, 6, 88) in replies[1][2]
@@ -154,8 +164,9 @@
 
 
 def test_end_of_input_is_a_clean_exit() -> None:
-    done = subprocess.run([sys.executable, "-m", "gingervane.benchlink"], input=frame(1.0, 1), cwd=ROOT,
-                          capture_output=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "gingervane.benchlink"], input=frame(1.0, 1), cwd=ROOT, capture_output=True
+    )
     assert done.returncode == 0 and len(done.stdout) == 12 and not done.stderr
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -122,7 +122,8 @@
 
 
 def test_a_request_that_lies_unread_as_its_connection_is_to_end_is_served(
-    platform: Platform, looking: Held,
+    platform: Platform,
+    looking: Held,
 ) -> None:
     """Our receiving side was shut before: the kernel then reports what looks like a client that left."""
     sock = rested(platform)
@@ -161,7 +162,8 @@
 
 
 def test_a_request_that_is_read_while_connections_are_ended_is_refused(
-    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+    platform: Platform,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     sock, heard = platform.client(), Waiter()
     wind_down = Connections.wind_down
@@ -178,7 +180,8 @@
 
 
 def test_a_connection_that_nobody_has_taken_yet_is_served_at_the_end(
-    platform: Platform, looking: Held,
+    platform: Platform,
+    looking: Held,
 ) -> None:
     """Closing the listener would reset it, and the request that was written to it would be lost."""
     waiting = rested(platform)
@@ -196,7 +199,8 @@
 
 
 def test_a_query_that_was_admitted_as_the_end_came_is_settled(
-    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+    platform: Platform,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """It was put into the inbox of a decision thread that had ended, and its client waited for ever."""
     entering = Held(monkeypatch, Admission, "enter", after=True)
@@ -216,7 +220,8 @@
 
 
 def test_a_query_that_waits_for_the_decision_thread_as_the_end_comes_is_refused_and_not_sent(
-    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+    platform: Platform,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     turning = Held(monkeypatch, Core, "_turn")
     turning.hold()
@@ -272,7 +277,8 @@
 
 
 def test_the_end_comes_between_an_answer_and_its_write(
-    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+    platform: Platform,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     writing = Held(monkeypatch, HttpServer, "_write")
     writing.hold()
@@ -303,7 +309,8 @@
 
 
 def test_nobody_is_told_that_it_is_ready_before_it_decides_and_what_came_before_is_served(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     starting, listening, serve = Held(monkeypatch, Core, "start"), Waiter(), HttpServer.start
 
@@ -430,7 +437,9 @@
 
 @pytest.mark.parametrize("leave", LEAVING)
 def test_a_client_that_left_before_its_request_was_read(
-    platform: Platform, looking: Held, leave: Callable[[socket.socket], None],
+    platform: Platform,
+    looking: Held,
+    leave: Callable[[socket.socket], None],
 ) -> None:
     sock = rested(platform)
     looking.hold()
@@ -445,7 +454,8 @@
 
 
 def test_a_client_that_left_while_it_waited_for_the_decision_thread(
-    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+    platform: Platform,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     turning = Held(monkeypatch, Core, "_turn")
     left, leave = Waiter(), Core.left
@@ -475,12 +485,17 @@
 @pytest.mark.parametrize("first", ["leaves", "is due", "stays"])
 @pytest.mark.parametrize("due", NEXT)
 def test_a_client_that_leaves_as_more_is_about_to_be_sent_for_it(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, due: str, first: str, cancelling: bool,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    due: str,
+    first: str,
+    cancelling: bool,
 ) -> None:
     """Both lie before the decision thread in the same turn, in either order: nothing more is sent.
 
     For a client that stays it is, so that the others prove something.
     """
+
     def behave(wire: Wire, part: Part) -> None:
         if part.id.startswith("after"):
             wire.answer(part.id)
@@ -542,7 +557,8 @@
 
 
 def test_a_client_s_leaving_is_looked_for_again_after_news_that_was_none(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Each piece of news comes once; one that proved to be none left its connection unwatched."""
     silent, has_left, asks = Replica(0, lambda wire, part: None), connections_module.has_left, Waiter()
@@ -580,14 +596,19 @@
     """A process of its own, whose limit the system holds; all clients have spoken and rest."""
     platform, calls, limit = Platform(tmp_path), Calls(), 128
     data = json.loads(platform.path.read_text()) | {
-        "discovery": "{}:{}".format(*calls.where), "limits": {"sockets": limit},
+        "discovery": "{}:{}".format(*calls.where),
+        "limits": {"sockets": limit},
         "listen": f"127.0.0.1:{free_port()}",
     }
     path = tmp_path / "other.json"
     path.write_text(json.dumps(data))
     program = subprocess.Popen(
-        [sys.executable, "-m", "gingervane.node"], env={"NODE_CONFIG": str(path)}, cwd=ROOT, text=True,
-        stderr=subprocess.PIPE, preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit)),
+        [sys.executable, "-m", "gingervane.node"],
+        env={"NODE_CONFIG": str(path)},
+        cwd=ROOT,
+        text=True,
+        stderr=subprocess.PIPE,
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit)),
     )
     assert program.stderr is not None
     read_until(program.stderr, "listens")
@@ -636,6 +657,7 @@
 
 def test_settled_queries_leave_no_thread_behind(tmp_path: Path) -> None:
     """Threads are made by need: connections at rest hold none."""
+
     def behave(wire: Wire, part: Part) -> None:
         wire.answer(part.id)
 
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -55,8 +55,13 @@
             ("consul",), fence, self.told.append, self.said.append, Snapshot(self.kept, 0.0, 1, 8)
         )
         made = watchers_of(
-            place, ("x",), 8, 0.0, lambda m, age, index, sure: sources.report("consul", m, age, index, sure),
-            self.said.append, random.Random(1),
+            place,
+            ("x",),
+            8,
+            0.0,
+            lambda m, age, index, sure: sources.report("consul", m, age, index, sure),
+            self.said.append,
+            random.Random(1),
         )
         return sources, made
 
@@ -83,8 +88,14 @@
         self.catalogue.close()
 
     def register(self, number: int, **meta: str) -> None:
-        self.catalogue.register({"ID": f"n{number}", "Name": "grid", "Port": 9000 + number, "Meta": {
-            "zone": "x", "cell": str(number), "gingervane-id": str(number), **meta}})
+        self.catalogue.register(
+            {
+                "ID": f"n{number}",
+                "Name": "grid",
+                "Port": 9000 + number,
+                "Meta": {"zone": "x", "cell": str(number), "gingervane-id": str(number), **meta},
+            }
+        )
 
     def fault(self, fault: str) -> None:
         for agent in self.agents:
@@ -257,8 +268,9 @@
     assert len(found) == 6 and {e["Service"]["Service"] for e in found} == {"grid"}
     again, found = agent.health.service("grid", index=index, wait="50ms")
     assert again == index and len(found) == 6, "waited, and nothing moved"
-    assert agent.agent.service.register("web", service_id="w1", address="127.0.0.1", port=80, tags=["a"],
-                                        check=published.Check.ttl("200ms"))
+    assert agent.agent.service.register(
+        "web", service_id="w1", address="127.0.0.1", port=80, tags=["a"], check=published.Check.ttl("200ms")
+    )
     _, (web,) = agent.health.service("web")
     assert web["Service"]["Tags"] == ["a"] and web["Checks"][0]["Status"] == "critical"
     assert agent.agent.check.ttl_pass("service:w1")
@@ -273,11 +285,23 @@
         agent.health.service("grid")
     token = tmp_path / "token"
     token.write_text("wrong\n")
-    place = ConsulPlace((watch.agents[0].address,), "grid", token_file=token,
-                        filter_by='Service.Meta.cell == "3"', pause=Pause(0.01, 0.05, 0.1, 0.5))
+    place = ConsulPlace(
+        (watch.agents[0].address,),
+        "grid",
+        token_file=token,
+        filter_by='Service.Meta.cell == "3"',
+        pause=Pause(0.01, 0.05, 0.1, 0.5),
+    )
     seen: list[int] = []
-    (watcher,) = watchers_of(place, ("x",), 8, 0.0, lambda m, age, index, sure: seen.append(len(m)),
-                             watch.said.append, random.Random(1))
+    (watcher,) = watchers_of(
+        place,
+        ("x",),
+        8,
+        0.0,
+        lambda m, age, index, sure: seen.append(len(m)),
+        watch.said.append,
+        random.Random(1),
+    )
     watcher.start()
     eventually(lambda: any("status 403" in said for said in watch.said))
     token.write_text("secret\n")
@@ -299,7 +323,8 @@
         address = node.address if node else ("127.0.0.1", 1)
         marks = {"zone": ZONES[number % 3], "cell": str(number), "gingervane-id": str(number), **meta}
         catalogue.register(
-            {"ID": f"n{number}", "Name": "grid", "Port": address[1], "Address": address[0], "Meta": marks})
+            {"ID": f"n{number}", "Name": "grid", "Port": address[1], "Address": address[0], "Meta": marks}
+        )
 
     fleet = Embedded(overrides=where)
     try:
@@ -326,8 +351,14 @@
     agent = Agent(catalogue)
     host, port = agent.address
     where = {"consul": {"agents": [f"{host}:{port}"], "service": "grid", "coordinators": "vane", "wait": 1.0}}
-    fleet = Embedded(nodes=6, tiles=24, coordinators=4, overrides={"membership": where},
-                     tree={"fan_out": 4, "levels": 1, "width": 4}, list_coordinators=False)
+    fleet = Embedded(
+        nodes=6,
+        tiles=24,
+        coordinators=4,
+        overrides={"membership": where},
+        tree={"fan_out": 4, "levels": 1, "width": 4},
+        list_coordinators=False,
+    )
     try:
         eventually(lambda: all(len(app._peers.ready) == 3 for app in fleet.apps))
         assert ask(fleet).status == 200 and fleet.app._front.cuts == 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,7 +26,16 @@
 from gingervane.policy import Coordinator
 from gingervane.wire.frames import Asked
 from platform_standins import (
-    PATIENCE, SETTINGS, Platform, Replica, Waiter, answer, cell_of, query, request, until,
+    PATIENCE,
+    SETTINGS,
+    Platform,
+    Replica,
+    Waiter,
+    answer,
+    cell_of,
+    query,
+    request,
+    until,
 )
 
 
@@ -114,7 +123,8 @@
 
 @pytest.mark.parametrize("why", ["told to retire", "makes room", "idle for too long"])
 def test_a_link_that_goes_in_the_moment_of_an_answer_loses_none(
-    monkeypatch: pytest.MonkeyPatch, why: str,
+    monkeypatch: pytest.MonkeyPatch,
+    why: str,
 ) -> None:
     """The reader has taken the answer off its books and not told of it yet: nothing is out on the link."""
     replica, other, told = Replica(0), Replica(0), Waiter()
@@ -166,7 +176,8 @@
 
 
 def test_out_of_descriptors_a_part_ends_unsent_and_nothing_else_does(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The decision thread broke, and with it every query after."""
     platform = Platform(tmp_path, Replica(0))
@@ -182,7 +193,8 @@
 
 
 def test_an_unsafe_part_whose_connection_came_up_late_runs_once(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Told as could-not-connect, which proves that it never ran: then it must not leave once that is up."""
     late, came_up = list[Link](), Link._came_up
@@ -210,7 +222,11 @@
 @pytest.mark.parametrize("cancelling", [True, False])
 @pytest.mark.parametrize("path", ["/look", "/book"])
 def test_a_part_that_waits_for_its_connection_does_not_leave_after_its_client(
-    tmp_path: Path, settled: Waiter, rising: threading.Event, cancelling: bool, path: str,
+    tmp_path: Path,
+    settled: Waiter,
+    rising: threading.Event,
+    cancelling: bool,
+    path: str,
 ) -> None:
     """Where attempts may not be cancelled the module cancels none: the part left later."""
     replica = Replica(0)
@@ -229,7 +245,9 @@
 
 @pytest.mark.parametrize("cancelling", [True, False])
 def test_a_part_that_waits_for_its_connection_does_not_leave_after_its_query_s_answer(
-    tmp_path: Path, rising: threading.Event, cancelling: bool,
+    tmp_path: Path,
+    rising: threading.Event,
+    cancelling: bool,
 ) -> None:
     replica = Replica(0)
     limits = with_limits(Cancelling=cancelling, ConnectTimeoutS=PATIENCE)
@@ -243,7 +261,10 @@
 
 @pytest.mark.parametrize("cancelling", [True, False])
 def test_a_frame_that_has_left_in_part_is_not_finished_for_a_client_that_has_gone(
-    tmp_path: Path, settled: Waiter, monkeypatch: pytest.MonkeyPatch, cancelling: bool,
+    tmp_path: Path,
+    settled: Waiter,
+    monkeypatch: pytest.MonkeyPatch,
+    cancelling: bool,
 ) -> None:
     replica = stops_reading(monkeypatch)
     platform = Platform(tmp_path, replica, settings=with_limits(Cancelling=cancelling))
@@ -354,7 +375,8 @@
 
 @pytest.mark.parametrize("cancelling", [True, False])
 def test_a_part_whose_time_is_over_is_called_off_only_where_that_is_allowed(
-    tmp_path: Path, cancelling: bool,
+    tmp_path: Path,
+    cancelling: bool,
 ) -> None:
     """It was at its time-out, whatever the settings said."""
     silent = Replica(0, lambda wire, part: None)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -21,13 +21,32 @@
 from gingervane.node.discovery import ListReader, Watch, WatchState
 from gingervane.coordinator.starts import StartClock
 from platform_standins import (
-    HEAD, NO_LENGTH, PATIENCE, SETTINGS, Calls, Platform, Recorded, Replica, Waiter, chunk, host, line, until,
+    HEAD,
+    NO_LENGTH,
+    PATIENCE,
+    SETTINGS,
+    Calls,
+    Platform,
+    Recorded,
+    Replica,
+    Waiter,
+    chunk,
+    host,
+    line,
+    until,
 )
 
+
 def entry(health: str = "SERVING") -> dict[str, Any]:
     return {
-        "host": "s-1", "dial": "127.0.0.1:80", "site": "a", "class": "m", "block": 0, "health": health,
-        "share": 1.0, "born_ms": 0,
+        "host": "s-1",
+        "dial": "127.0.0.1:80",
+        "site": "a",
+        "class": "m",
+        "block": 0,
+        "health": health,
+        "share": 1.0,
+        "born_ms": 0,
     }
 
 
@@ -46,8 +65,11 @@
         """What has been told, oldest first: 'failed', or the state of the one replica."""
         kinds: list[t.Listed] = self.told.items
         return [
-            "failed" if listed.event.kind is api.ListKind.FAILED
-            else listed.event.replicas[0].state.name if listed.event.replicas else "no news"
+            "failed"
+            if listed.event.kind is api.ListKind.FAILED
+            else listed.event.replicas[0].state.name
+            if listed.event.replicas
+            else "no news"
             for listed in kinds
         ]
 
@@ -119,7 +141,9 @@
 @pytest.mark.parametrize("grace", [None, 0.0, 0.4])
 @pytest.mark.parametrize("mode", ["ask", "push"])
 def test_a_node_s_calls_may_take_the_grace_where_lists_are_pushed(
-    tmp_path: Path, mode: str, grace: float | None,
+    tmp_path: Path,
+    mode: str,
+    grace: float | None,
 ) -> None:
     rules = SETTINGS["Rules"] | ({} if grace is None else {"StopSendingWithinS": grace})
     platform = Platform(tmp_path, settings=SETTINGS | {"MembershipMode": mode, "Rules": rules})
@@ -129,7 +153,9 @@
 
 @pytest.mark.parametrize("mode", ["ask", "push"])
 def test_a_drain_made_while_the_watch_was_silent_is_kept(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, mode: str,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    mode: str,
 ) -> None:
     monkeypatch.setattr(discovery, "SILENCE", 0.3)
     calls, drains, stays = Calls(), Replica(0), Replica(0)
@@ -151,10 +177,13 @@
 @pytest.mark.parametrize("framing", ["chunked", "no length", "a length"])
 def test_lists_come_in_any_framing(watched: Watched, framing: str) -> None:
     data = line(1, entry())
-    watched.here.sock(1).sendall({
-        "chunked": HEAD + chunk(data), "no length": NO_LENGTH + data,
-        "a length": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(data) + data,
-    }[framing])
+    watched.here.sock(1).sendall(
+        {
+            "chunked": HEAD + chunk(data),
+            "no length": NO_LENGTH + data,
+            "a length": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(data) + data,
+        }[framing]
+    )
     watched.told.wait()
     assert watched.states()[0] == "READY"
 
@@ -272,7 +301,8 @@
 
 
 def test_the_list_of_the_old_address_read_after_a_move_is_followed_by_the_new_one(
-    watched: Watched, monkeypatch: pytest.MonkeyPatch,
+    watched: Watched,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     read, reads, go = ListReader.read, threading.Event(), threading.Event()
 
@@ -294,7 +324,8 @@
 
 
 def test_out_of_descriptors_is_a_failure_like_any_other(
-    watched: Watched, monkeypatch: pytest.MonkeyPatch,
+    watched: Watched,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     class NoneLeft:
         """The module as the watch sees it; the stand-in goes on making sockets."""
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -21,7 +21,8 @@
 
 ENDINGS = [o for o in api.Outcome if o is not api.Outcome.CANCELLED]
 CLASSES = (
-    query_class(aim=1.0, deadline=3.0), query_class(aim=1.0, deadline=3.0, least=0.5),
+    query_class(aim=1.0, deadline=3.0),
+    query_class(aim=1.0, deadline=3.0, least=0.5),
     query_class(aim=1.0, deadline=3.0, semantics=api.Semantics.UNSAFE),
     query_class(aim=1.0, deadline=3.0, semantics=api.Semantics.KEYED, window=0.5),
 )
@@ -101,8 +102,12 @@
             out.append(t.Ended(errand.part, errand.attempt, outcome, self.now, name if good else None))
         return out
 
-    @rule(kind=st.integers(0, 3), shards=st.sets(st.integers(0, 7), min_size=1, max_size=5),
-          time=st.sampled_from([0.02, 0.3, 3.0]), hold=st.booleans())
+    @rule(
+        kind=st.integers(0, 3),
+        shards=st.sets(st.integers(0, 7), min_size=1, max_size=5),
+        time=st.sampled_from([0.02, 0.3, 3.0]),
+        hold=st.booleans(),
+    )
     def arrive(self, kind: int, shards: set[int], time: float, hold: bool) -> None:
         number, self.next = self.next, self.next + 1
         weight = 1 / len(shards)
@@ -116,8 +121,12 @@
             self.step(arrived)
 
     @precondition(lambda self: self.calls)
-    @rule(pick=st.integers(0, 1 << 20), outcome=st.sampled_from([api.Outcome.OK] * 6 + ENDINGS),
-          hold=st.booleans(), again=st.booleans())
+    @rule(
+        pick=st.integers(0, 1 << 20),
+        outcome=st.sampled_from([api.Outcome.OK] * 6 + ENDINGS),
+        hold=st.booleans(),
+        again=st.booleans(),
+    )
     def end(self, pick: int, outcome: api.Outcome, hold: bool, again: bool) -> None:
         """A call ends, also one that was called off, at times twice, at times in one batch with others."""
         index = pick % len(self.calls)
@@ -260,7 +269,8 @@
 
 def test_shutdown_refuses_only_what_cannot_have_run() -> None:
     for semantics, verdict in (
-        (api.Semantics.SAFE, t.Verdict.REFUSED), (api.Semantics.UNSAFE, t.Verdict.FAILED)
+        (api.Semantics.SAFE, t.Verdict.REFUSED),
+        (api.Semantics.UNSAFE, t.Verdict.FAILED),
     ):
         bench = Bench(query_class(aim=1.0, deadline=3.0, semantics=semantics))
         bench.ask(3.0)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -46,11 +46,15 @@
 
     first = digest()
     assert first == digest() and len(first) > 100_000
-    code = "import hashlib, sys; sys.path.insert(0, 'tests'); import test_emulator as e; " \
-           "text = e.json.dumps(e.World(e.small()).run().tries, default=str); " \
-           "print(hashlib.md5(text.encode()).hexdigest())"
-    others = {subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
-              for _ in range(2)}
+    code = (
+        "import hashlib, sys; sys.path.insert(0, 'tests'); import test_emulator as e; "
+        "text = e.json.dumps(e.World(e.small()).run().tries, default=str); "
+        "print(hashlib.md5(text.encode()).hexdigest())"
+    )
+    others = {
+        subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+        for _ in range(2)
+    }
     assert len(others) == 1, "and in other processes"
     assert emulate(small(), seed=4)["tries"] != emulate(small(), seed=5)["tries"]
 
@@ -81,12 +85,20 @@
         monkeypatch.setattr(coordinator.SimCoordinator, "listed", once)
     elif rule == "budget":
         honest = Config.module_settings
-        monkeypatch.setattr(Config, "module_settings", lambda self: honest(self)._replace(
-            budget_free=None, budget_share=None, budget_span=None))
+        monkeypatch.setattr(
+            Config,
+            "module_settings",
+            lambda self: honest(self)._replace(budget_free=None, budget_share=None, budget_span=None),
+        )
     else:  # what has just started is sent its share at once
         listed = coordinator.SimCoordinator.listed
-        monkeypatch.setattr(coordinator.SimCoordinator, "listed", lambda self, members, cached=False: listed(
-            self, tuple(m._replace(started_at=0.0) for m in members), cached))
+        monkeypatch.setattr(
+            coordinator.SimCoordinator,
+            "listed",
+            lambda self, members, cached=False: listed(
+                self, tuple(m._replace(started_at=0.0) for m in members), cached
+            ),
+        )
         monkeypatch.setattr("gingervane.policy.Coordinator._judge", lambda self, server, bad, why="": None)
     report = emulate(small())
     assert not report["rules"][rule]["kept"], report["rules"]
@@ -146,8 +158,10 @@
 
 def subprocess_store(out: Path) -> None:
     """Open the store in another process."""
-    code = f"from gingervane.lab.store import RunStore, StoreBusy\nfrom pathlib import Path\n" \
-           f"try: RunStore(Path({str(out)!r}) / 'runs.duckdb')\nexcept StoreBusy: print('busy')"
+    code = (
+        f"from gingervane.lab.store import RunStore, StoreBusy\nfrom pathlib import Path\n"
+        f"try: RunStore(Path({str(out)!r}) / 'runs.duckdb')\nexcept StoreBusy: print('busy')"
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     if "busy" in done.stdout:
         raise StoreBusy
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -58,7 +58,8 @@
     got = (answer.results or [[]])[0]
     return [s.labels for s in got] == [s.labels for s in want] and all(
         np.array_equal(a.timestamps, b.timestamps) and np.array_equal(a.values, b.values)
-        for a, b in zip(got, want, strict=True))
+        for a, b in zip(got, want, strict=True)
+    )
 
 
 def steps(answer: Answer) -> list[list[str]]:
@@ -71,8 +72,18 @@
     return number in module.servers and not module.servers[number].ready
 
 
-WRONG = ("pause_mid_reply", "reset_mid_body", "wrong_tile", "wrong_time", "short_body", "few_results",
-         "snappy_lies", "fail_fast", "lose_answers", "dribble")
+WRONG = (
+    "pause_mid_reply",
+    "reset_mid_body",
+    "wrong_tile",
+    "wrong_time",
+    "short_body",
+    "few_results",
+    "snappy_lies",
+    "fail_fast",
+    "lose_answers",
+    "dribble",
+)
 
 
 @pytest.mark.parametrize("kind", WRONG)
@@ -182,9 +193,13 @@
 
 def test_two_hundred_clients_leave_at_once() -> None:
     slow = Model(cores=2, work=30.0, queue=10_000)
-    fleet = Embedded(model=slow, overrides={
-        "limits": {"open": 10_000, "senders": 600, "calls_per_replica": 600}, "class": [
-        {"name": "point-lookup", "aim": 500.0, "deadline": 600.0}]})
+    fleet = Embedded(
+        model=slow,
+        overrides={
+            "limits": {"open": 10_000, "senders": 600, "calls_per_replica": 600},
+            "class": [{"name": "point-lookup", "aim": 500.0, "deadline": 600.0}],
+        },
+    )
     try:
         request = Client(fleet.address).request([ALL], {})
         clients = [socket.create_connection(fleet.address) for _ in range(200)]
--- a/tests/test_incident_partial.py
+++ b/tests/test_incident_partial.py
@@ -26,7 +26,18 @@
 from gingervane.policy import Coordinator
 from hosts import BASE, query_class, replica
 from platform_standins import (
-    PATIENCE, SETTINGS, Discovery, Part, Replica, Wire, cell_of, host, query, read_until, reply, start_node,
+    PATIENCE,
+    SETTINGS,
+    Discovery,
+    Part,
+    Replica,
+    Wire,
+    cell_of,
+    host,
+    query,
+    read_until,
+    reply,
+    start_node,
 )
 
 ROOT = Path(__file__).parents[1]
@@ -37,7 +48,10 @@
 def settings(least: float, whole: float) -> dict[str, Any]:
     """One class with a second step of two parts."""
     extra = SETTINGS["Extra"] | {
-        "ClassFetch": [2], "MinShare": [least], "WholeAt": [whole], "ShortWorth": [1.0],
+        "ClassFetch": [2],
+        "MinShare": [least],
+        "WholeAt": [whole],
+        "ShortWorth": [1.0],
     }
     kind = {"Name": "look", "AimS": AIM, "DeadlineS": 3.0, "Semantics": "safe", "LateWorth": 0.0}
     return SETTINGS | {"Classes": [kind], "Extra": extra}
@@ -67,7 +81,9 @@
 
 @pytest.mark.parametrize(("least", "whole"), [(0.6, 1.0), (0.6, 0.75)])
 def test_an_answer_that_comes_with_the_aim_timer_gets_its_second_step(
-    tmp_path: Path, least: float, whole: float,
+    tmp_path: Path,
+    least: float,
+    whole: float,
 ) -> None:
     """A node is held up over the aim of its queries; what comes meanwhile and the timer meet in one batch."""
     wrong = []
@@ -80,11 +96,19 @@
     replicas = [HeldReplica(), HeldReplica()]
     discovery = Discovery([host(r) for r in replicas])
     path = folder / "config.json"
-    path.write_text(json.dumps({
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "5",
-        "limits": {"sockets": 256}, "settings": settings(least, whole),
-        "known": {"seq": 0, "whole": True, "hosts": [host(r) for r in replicas]},
-    }))
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": "127.0.0.1:0",
+                "discovery": discovery.address,
+                "seed": "5",
+                "limits": {"sockets": 256},
+                "settings": settings(least, whole),
+                "known": {"seq": 0, "whole": True, "hosts": [host(r) for r in replicas]},
+            }
+        )
+    )
     node = start_node(path)
     assert node.stderr is not None
     where, port = read_until(node.stderr, "listens").split("address=")[1].split()[0].rsplit(":", 1)
@@ -101,7 +125,10 @@
 
 
 def _held_over_the_aim(
-    node: subprocess.Popen[str], where: tuple[str, int], replicas: list[HeldReplica], name: str,
+    node: subprocess.Popen[str],
+    where: tuple[str, int],
+    replicas: list[HeldReplica],
+    name: str,
 ) -> list[tuple[str, int, object]]:
     """One round; the answers that are not two pieces of the second step."""
     socks = [socket.create_connection(where, PATIENCE) for _ in range(QUERIES)]
@@ -154,10 +181,15 @@
     config = BASE._replace(classes=(kind,), coordinators=1, may_copy=False)
     driver = Driver(Coordinator(config, 5), config)
     finals: list[t.Final] = []
-    driver.step(100.0, [t.Listed(
-        api.MembershipChanged(api.ListKind.FULL, (replica(1), replica(2))),
-        {1: ("127.0.0.1", 1), 2: ("127.0.0.1", 2)},
-    )])
+    driver.step(
+        100.0,
+        [
+            t.Listed(
+                api.MembershipChanged(api.ListKind.FULL, (replica(1), replica(2))),
+                {1: ("127.0.0.1", 1), 2: ("127.0.0.1", 2)},
+            )
+        ],
+    )
     parts = tuple(t.PartPlan(shard, 0.25, f"q.{shard}") for shard in range(4))
 
     def second(results: dict[int, Any], whole: bool) -> tuple[t.PartPlan, ...]:
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -286,7 +286,9 @@
 
 @pytest.mark.parametrize("call", ["folder", "head", "cut"])
 def test_a_segment_that_cannot_be_begun_promises_nothing(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    call: str,
 ) -> None:
     """A new file whose folder was not forced was kept in use: its name, and all in it, could be lost."""
     disk = FailingDisk()
@@ -338,7 +340,8 @@
 
 
 def test_a_key_from_before_another_boot_is_out_of_its_window(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Nothing tells how long ago it may have been sent: the safe side is not to send it again."""
     now = clock.seconds()
@@ -440,7 +443,11 @@
             return http1.head(f"GET /count/{'+'.join(contents)} HTTP/1.1", [("Host", "x")])
 
         def read(
-            self, contents: list[Any], status: int, header: Callable[[str], str], body: bytes,
+            self,
+            contents: list[Any],
+            status: int,
+            header: Callable[[str], str],
+            body: bytes,
         ) -> list[Any]:
             if status != 200:
                 raise t.BadReply(f"status {status}")
@@ -457,20 +464,46 @@
 
     look = api.QueryClass(1.0, 3.0, api.Semantics.SAFE, None, 0, 1.0, 1.0, None, 0.0, 1.0)
     settings = api.Settings(
-        coordinators=1, zone=0, classes=(look,), tenant_quotas=(), granularity=0.005, cells=2, width=2,
-        parts_per_call=8, most_attempts=3, may_cancel=True, may_message_peers=False, may_copy=True,
-        may_advise_wait=True, longest_wait_advice=1.0, must_ask_membership=False, start_capacity=0.2,
-        ramp_time=15.0, fall_time=2.0, fall_multiple=4.0,
-        budget_free=None, budget_share=None, budget_span=None,
+        coordinators=1,
+        zone=0,
+        classes=(look,),
+        tenant_quotas=(),
+        granularity=0.005,
+        cells=2,
+        width=2,
+        parts_per_call=8,
+        most_attempts=3,
+        may_cancel=True,
+        may_message_peers=False,
+        may_copy=True,
+        may_advise_wait=True,
+        longest_wait_advice=1.0,
+        must_ask_membership=False,
+        start_capacity=0.2,
+        ramp_time=15.0,
+        fall_time=2.0,
+        fall_multiple=4.0,
+        budget_free=None,
+        budget_share=None,
+        budget_span=None,
     )
     pool = Pool(http1.Limits(4096, 4096), 4, 30.0)
-    core = Core(Coordinator(settings, 1), settings, Bounds(100, 1 << 20), _Branches(Metrics()),
-                lambda report: Senders(pool, SenderLimits(4, 4, 4, 1.0), report))
+    core = Core(
+        Coordinator(settings, 1),
+        settings,
+        Bounds(100, 1 << 20),
+        _Branches(Metrics()),
+        lambda report: Senders(pool, SenderLimits(4, 4, 4, 1.0), report),
+    )
     core.start()
     servers = [HttpServer("127.0.0.1", 0, replica, ServerLimits()) for _ in range(2)]
     rows = tuple(api.Replica(i, i, 0, 1.0, api.ReplicaState.READY, 0.0) for i in range(2))
-    core.listed(t.Listed(api.MembershipChanged(api.ListKind.FULL, rows), {
-        i: server.address for i, server in enumerate(servers)}))
+    core.listed(
+        t.Listed(
+            api.MembershipChanged(api.ListKind.FULL, rows),
+            {i: server.address for i, server in enumerate(servers)},
+        )
+    )
     desk = Desk(core, ["look"])
 
     def total(request: Any, body: bytes, arrived: float, client: Any, words: dict[str, str]) -> Reply:
@@ -492,7 +525,8 @@
         server.start()
     try:
         for method, path, status, said in (
-            ("GET", "/total/a+b", 200, b"7\n"), ("GET", "/total", 404, b"no such page: /total\n"),
+            ("GET", "/total/a+b", 200, b"7\n"),
+            ("GET", "/total", 404, b"no such page: /total\n"),
             ("PUT", "/total/a", 405, b"/total/a: only GET is spoken here\n"),
         ):
             data = http1.head(f"{method} {path} HTTP/1.1", [("Host", "x")])
--- a/tests/test_json_values.py
+++ b/tests/test_json_values.py
@@ -29,8 +29,16 @@
 
 
 def entry(number: int, version: int = 1) -> dict[str, Any]:
-    return {"host": f"s-{number:04}", "dial": "10.1.0.1:8000", "site": "a", "class": "m", "block": number,
-            "health": "SERVING", "share": 1.0, "born_ms": version}
+    return {
+        "host": f"s-{number:04}",
+        "dial": "10.1.0.1:8000",
+        "site": "a",
+        "class": "m",
+        "block": number,
+        "health": "SERVING",
+        "share": 1.0,
+        "born_ms": version,
+    }
 
 
 def whole(count: int, version: int) -> dict[str, Any]:
@@ -61,7 +69,10 @@
 
 @given(Values, st.sampled_from([None, 0, 2]), st.lists(st.integers(0, 40), max_size=8), st.booleans())
 def test_values_come_out_the_same_however_they_are_written_and_cut(
-    values: list[Any], indent: int | None, sizes: list[int], close: bool,
+    values: list[Any],
+    indent: int | None,
+    sizes: list[int],
+    close: bool,
 ) -> None:
     data = (b"" if close else b"\n\n").join(json.dumps(v, indent=indent).encode() for v in values)
     reader = JsonValues(1 << 20)
@@ -78,10 +89,18 @@
         assert [json.loads(f.data) for f in found] == [whole(2, 4), whole(1, 5)]
 
 
-@pytest.mark.parametrize("spoilt", [
-    b'{"seq":4,"whole":tr\n', b'{"seq":4,"hosts":[{"host":"s-1\n', b"noise\n", b'}]"\n', b'{"seq":4,\n\n',
-    b'{"a":"\\\n', b"{" * 50 + b"\n\n",
-])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b'{"seq":4,"whole":tr\n',
+        b'{"seq":4,"hosts":[{"host":"s-1\n',
+        b"noise\n",
+        b'}]"\n',
+        b'{"seq":4,\n\n',
+        b'{"a":"\\\n',
+        b"{" * 50 + b"\n\n",
+    ],
+)
 def test_what_comes_after_a_spoilt_value_is_read(spoilt: bytes) -> None:
     good = json.dumps(whole(2, 5), indent=1).encode()
     reader = JsonValues(1 << 20)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -17,7 +17,10 @@
 
 
 def shares(
-    weights: dict[str, float], took: dict[str, float], seconds: float, slots: int = 2,
+    weights: dict[str, float],
+    took: dict[str, float],
+    seconds: float,
+    slots: int = 2,
 ) -> dict[str, float]:
     """Seconds of slots that each kind gets, where all of them always want more."""
     fair, now, used = Fair(weights, slots, 1000), 0.0, dict.fromkeys(weights, 0.0)
@@ -74,7 +77,11 @@
     assert not fair.enter("a", "begun", must=True) and fair.waiting("a") == 4
     assert fair.give_up("a", 1) and not fair.give_up("a", 1)
     assert [fair.leave("b", 0.1), fair.leave("a", 0.1), fair.leave("a", 0.1), fair.leave("a", 0.1)] == [
-        0, 2, "begun", None]
+        0,
+        2,
+        "begun",
+        None,
+    ]
 
 
 class Machine(RuleBasedStateMachine):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -38,8 +38,11 @@
         # For each source and server the newest bad word that was not taken back: from when it held.
         self.bad: dict[tuple[str, int], float] = {}
 
-    @rule(source=st.sampled_from(SOURCES), told=st.dictionaries(st.integers(0, 6), states, max_size=7),
-          age=st.sampled_from([0.0, 0.0, 0.0, 3.0, 100.0]))
+    @rule(
+        source=st.sampled_from(SOURCES),
+        told=st.dictionaries(st.integers(0, 6), states, max_size=7),
+        age=st.sampled_from([0.0, 0.0, 0.0, 3.0, 100.0]),
+    )
     def report(self, source: str, told: dict[int, api.ReplicaState], age: float) -> None:
         held, newest = self.now - age, self.merge._sources[source].last
         self.merge.report(Report(source, tuple(member(n, s) for n, s in told.items()), age), self.now)
@@ -149,7 +152,8 @@
 
 def entry(number: int, status: str = "passing", **meta: str) -> dict[str, object]:
     return {
-        "Node": {"Address": "10.0.0.1"}, "Checks": [{"CheckID": "c", "Status": status}],
+        "Node": {"Address": "10.0.0.1"},
+        "Checks": [{"CheckID": "c", "Status": status}],
         "Service": {"ID": f"n{number}", "Port": 9000, "Meta": {"zone": "x", "cell": "0", **meta}, "Tags": []},
     }
 
@@ -161,7 +165,9 @@
         return reader.read(list(entries))
 
     kept = {
-        "ready": entry(1, "warning"), "drain": entry(2, drain="true"), "gone": entry(3, "critical"),
+        "ready": entry(1, "warning"),
+        "drain": entry(2, drain="true"),
+        "gone": entry(3, "critical"),
         "maintained": entry(4) | {"Checks": [{"CheckID": "_node_maintenance", "Status": "critical"}]},
     }
     members, faults = read(*kept.values())
@@ -322,4 +328,14 @@
         made.said(status)
     # Forgotten: anew; and the other agent was never told.
     assert [s.value if s else None for s in (*said, made.next)] == [
-        "register", "pass", "pass", "register", "pass", "register", "pass", "drain", "remove", None]
+        "register",
+        "pass",
+        "pass",
+        "register",
+        "pass",
+        "register",
+        "pass",
+        "drain",
+        "remove",
+        None,
+    ]
--- a/tests/test_merge_model.py
+++ b/tests/test_merge_model.py
@@ -60,8 +60,12 @@
         return Watch(self.named | set(told), tuple(drained), tuple(since))
 
     def tick(self) -> Watch:
-        return self._replace(since=tuple(min(s + 1, int(FENCE.reset)) if d else 0 for s, d in
-                                         zip(self.since, self.drained, strict=True)))
+        return self._replace(
+            since=tuple(
+                min(s + 1, int(FENCE.reset)) if d else 0
+                for s, d in zip(self.since, self.drained, strict=True)
+            )
+        )
 
     def binds(self, number: int) -> bool:
         """Whether a drain of a server must still show: told, not taken back, and not so long ago that a lower
@@ -86,7 +90,9 @@
     waiting = source.waiting and (source.waiting.order, source.waiting.members)
     servers = tuple(
         (
-            n, server.away, max(server.ready_from - now, 0),
+            n,
+            server.away,
+            max(server.ready_from - now, 0),
             tuple(age(at) for at in server.returns if now - at < 2),
             min(age(server.answered) or 0, 2) if server.answered > -inf else None,
             tuple((e.member, age(e.missing_since), e.fenced) for e in server.entries.values()),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -85,7 +85,8 @@
 
 @given(st.lists(st.tuples(st.integers(0, 9), st.sampled_from(frames.ENDS)), max_size=6), st.data())
 def test_frames_come_out_the_same_however_they_are_cut(
-    parts: list[tuple[int, str]], data: st.DataObject,
+    parts: list[tuple[int, str]],
+    data: st.DataObject,
 ) -> None:
     stream = b"".join(answer(f"a.{n}", end, n) for n, end in parts)
     reader, out, at = frames.FrameReader(), [], 0
@@ -113,10 +114,18 @@
     assert reader.waiting <= 4 + 64
 
 
-@pytest.mark.parametrize("bad", [
-    b"a.1 served 7\n", b"a.1 served 7 -", b"a.1 eaten 7 -\n", b"a 1 served 7 -\n", b"a.1 served x -\n",
-    b" served 7 -\n", b"a.1 served 123456789012345678901 -\n",
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"a.1 served 7\n",
+        b"a.1 served 7 -",
+        b"a.1 eaten 7 -\n",
+        b"a 1 served 7 -\n",
+        b"a.1 served x -\n",
+        b" served 7 -\n",
+        b"a.1 served 123456789012345678901 -\n",
+    ],
+)
 def test_a_bad_answer_line_is_an_error(bad: bytes) -> None:
     with pytest.raises(frames.FrameError):
         frames.read_answer(bad)
@@ -135,7 +144,12 @@
 def test_replicas_have_the_same_numbers_everywhere_and_bad_entries_are_skipped() -> None:
     said = Recorded()
     good = {
-        "host": "s-1", "dial": "127.0.0.1:80", "site": "b", "block": 2, "health": "DRAINING", "born_ms": 5000,
+        "host": "s-1",
+        "dial": "127.0.0.1:80",
+        "site": "b",
+        "block": 2,
+        "health": "DRAINING",
+        "born_ms": 5000,
     }
     reader = ListReader(("a", "b"), StartClock(lambda: 20.0, lambda: 120.0), said)
     hosts = [good, {"host": "s-2"}, good | {"health": "ODD"}, 7]
@@ -152,7 +166,8 @@
 
 @pytest.mark.parametrize("dial", ODD_DIALS, ids=range(len(ODD_DIALS)))
 def test_a_replica_whose_address_cannot_be_one_is_skipped_and_the_others_go_on(
-    platform: Platform, dial: object,
+    platform: Platform,
+    dial: object,
 ) -> None:
     """A name in the place of an address had the decision thread ask for it, and break: all queries failed."""
     tell(platform, *[host(r) | {"host": f"odd-{r.port}", "dial": dial} for r in platform.replicas])
@@ -164,13 +179,19 @@
 @pytest.mark.parametrize("last", ["SERVING", "DRAINING", "DELETED"])
 @pytest.mark.parametrize("first", ["SERVING", "DRAINING", "DELETED"])
 def test_of_a_replica_that_stands_twice_in_a_change_the_last_word_counts(
-    platform: Platform, first: str, last: str,
+    platform: Platform,
+    first: str,
+    last: str,
 ) -> None:
     """One that was gone and is back in the same change had no address: the decision thread broke on it."""
     again, other = platform.replicas
     back = last == "SERVING"
-    tell(platform, host(again, health=first), host(other, health="DRAINING" if back else "SERVING"),
-         host(again, health=last))
+    tell(
+        platform,
+        host(again, health=first),
+        host(other, health="DRAINING" if back else "SERVING"),
+        host(again, health=last),
+    )
     for number in range(20):
         served(platform.ask(f"q{number}", {0: 1.0}), f"q{number}", 0)
     assert len(again.parts.items) == (20 if back else 0) and not platform.node.core.broken.is_set()
@@ -217,21 +238,30 @@
     assert sum(len(replica.parts.items) for replica in platform.replicas) == 2
 
 
-@pytest.mark.parametrize(("change", "what"), [
-    ({"settings": SETTINGS | {"Zones": "a,b"}}, "Zones"),
-    ({"settings": None}, "settings: missing"), ({"listen": "nowhere"}, "listen"), ({"seed": "xyz"}, "seed"),
-    ({"settings": SETTINGS | {"Zones": ["a"], "Rules": {}}}, "Rules.StartCapacity is missing"),
-    ({"discovery": "discovery.internal:8500"}, "discovery"), ({"peers": ["\0:1"]}, "peers"),
-    ({"discovery": "127.0.0.1:" + "9" * 5000}, "discovery"),
-    ({"settings": SETTINGS | {"Classes": []}}, "Classes.count"),
-    ({"settings": SETTINGS | {"Balancers": 0}}, "Balancers"),
-    ({"settings": SETTINGS | {"GranularityS": 0}}, "GranularityS"),
-    ({"settings": SETTINGS | {"Extra": SETTINGS["Extra"] | {"Sets": 0}}}, "Extra.Sets"),
-    ({"settings": SETTINGS | {"Extra": SETTINGS["Extra"] | {"WholeAt": [1.0, 0.0, 1.0]}}}, "Extra.WholeAt"),
-    ({"settings": SETTINGS | {"Rules": SETTINGS["Rules"] | {"RampTimeS": "nan"}}}, "Rules.RampTimeS"),
-    ({"settings": SETTINGS | {"Rules": SETTINGS["Rules"] | {"FallS": -1}}}, "Rules.FallS"),
-    ({"settings": SETTINGS | {"Limits": SETTINGS["Limits"] | {"ConnIdleS": "inf"}}}, "Limits.ConnIdleS"),
-])
+@pytest.mark.parametrize(
+    ("change", "what"),
+    [
+        ({"settings": SETTINGS | {"Zones": "a,b"}}, "Zones"),
+        ({"settings": None}, "settings: missing"),
+        ({"listen": "nowhere"}, "listen"),
+        ({"seed": "xyz"}, "seed"),
+        ({"settings": SETTINGS | {"Zones": ["a"], "Rules": {}}}, "Rules.StartCapacity is missing"),
+        ({"discovery": "discovery.internal:8500"}, "discovery"),
+        ({"peers": ["\0:1"]}, "peers"),
+        ({"discovery": "127.0.0.1:" + "9" * 5000}, "discovery"),
+        ({"settings": SETTINGS | {"Classes": []}}, "Classes.count"),
+        ({"settings": SETTINGS | {"Balancers": 0}}, "Balancers"),
+        ({"settings": SETTINGS | {"GranularityS": 0}}, "GranularityS"),
+        ({"settings": SETTINGS | {"Extra": SETTINGS["Extra"] | {"Sets": 0}}}, "Extra.Sets"),
+        (
+            {"settings": SETTINGS | {"Extra": SETTINGS["Extra"] | {"WholeAt": [1.0, 0.0, 1.0]}}},
+            "Extra.WholeAt",
+        ),
+        ({"settings": SETTINGS | {"Rules": SETTINGS["Rules"] | {"RampTimeS": "nan"}}}, "Rules.RampTimeS"),
+        ({"settings": SETTINGS | {"Rules": SETTINGS["Rules"] | {"FallS": -1}}}, "Rules.FallS"),
+        ({"settings": SETTINGS | {"Limits": SETTINGS["Limits"] | {"ConnIdleS": "inf"}}}, "Limits.ConnIdleS"),
+    ],
+)
 def test_a_bad_configuration_names_its_key(platform: Platform, change: dict[str, object], what: str) -> None:
     data = json.loads(platform.path.read_text()) | change
     platform.path.write_text(json.dumps(data))
@@ -318,7 +348,8 @@
 
 @pytest.mark.parametrize("spoil", [break_with, spoil_letter, spoil_length, spoil_value, spoil_id])
 def test_a_spoilt_answer_is_asked_for_elsewhere_and_never_served(
-    tmp_path: Path, spoil: Callable[[Wire, Part], None],
+    tmp_path: Path,
+    spoil: Callable[[Wire, Part], None],
 ) -> None:
     platform = at_first(tmp_path, spoil)
     served(platform.ask("q", {0: 0.2, 1: 0.2, 2: 0.2, 3: 0.4}), "q", 0, 1, 2, 3)
@@ -345,7 +376,8 @@
 
 @pytest.mark.parametrize("spoil", [break_with, spoil_letter, spoil_length, spoil_value, spoil_id])
 def test_an_unsafe_part_that_may_have_run_is_not_sent_again(
-    tmp_path: Path, spoil: Callable[[Wire, Part], None],
+    tmp_path: Path,
+    spoil: Callable[[Wire, Part], None],
 ) -> None:
     platform = Platform(tmp_path, Replica(0, spoil), Replica(0, spoil))
     status, _, _ = platform.ask("q", {0: 1.0}, "/book")
@@ -504,7 +536,8 @@
     "a weight out of range": query("id", {0: 1.5, 1: -0.5}),
     "no parts": query("id", {}),
     "a shard twice": request(
-        "id", '{"tablets":[{"tablet":0,"fraction":0.5},{"tablet":0,"fraction":0.5}],"statement":""}',
+        "id",
+        '{"tablets":[{"tablet":0,"fraction":0.5},{"tablet":0,"fraction":0.5}],"statement":""}',
     ),
     "a shard that is true": request("id", '{"tablets":[{"tablet":true,"fraction":1}],"statement":""}'),
     "both framings": GOOD.replace(b"Host: x\r\n", b"Host: x\r\nTransfer-Encoding: chunked\r\n"),
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1144,12 +1144,20 @@
     part = part_of(host, query)
     host.finish(part)
     over = api.AttemptEnded(part, 0, 10, Outcome.OK, 0.1)
-    assert host.feed(
-        over, over, api.AttemptEnded(999, 3, 77, Outcome.ERROR, 0.1), api.QueryExpired(query),
-        api.QueryExpired(12345),
-        api.TimerFired(987654), api.PeerMessage(1, b"hello"), api.ProbeEnded(99, Outcome.OK, 0.1, ()),
-        api.PartArrived(4321, 99, 0, 1.0),
-    ) == []
+    assert (
+        host.feed(
+            over,
+            over,
+            api.AttemptEnded(999, 3, 77, Outcome.ERROR, 0.1),
+            api.QueryExpired(query),
+            api.QueryExpired(12345),
+            api.TimerFired(987654),
+            api.PeerMessage(1, b"hello"),
+            api.ProbeEnded(99, Outcome.OK, 0.1, ()),
+            api.PartArrived(4321, 99, 0, 1.0),
+        )
+        == []
+    )
 
 
 def test_an_expired_query_is_let_go() -> None:
@@ -1175,8 +1183,14 @@
 
 def test_independent_of_hash_order() -> None:
     logs = {
-        subprocess.run([sys.executable, "-c", SCRIPT], cwd=ROOT, check=True, capture_output=True, text=True,
-                       env={"PYTHONHASHSEED": seed, "PYTHONPATH": f"{ROOT}:{ROOT}/tests"}).stdout
+        subprocess.run(
+            [sys.executable, "-c", SCRIPT],
+            cwd=ROOT,
+            check=True,
+            capture_output=True,
+            text=True,
+            env={"PYTHONHASHSEED": seed, "PYTHONPATH": f"{ROOT}:{ROOT}/tests"},
+        ).stdout
         for seed in ("1", "2", "77")
     }
     assert len(logs) == 1 and len(logs.pop()) > 1000
@@ -1213,4 +1227,3 @@
         assert [ref() for ref in over] == [None, None]
     finally:
         gc.enable()
-
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,17 +22,36 @@
 )
 SETTINGS = st.builds(
     lambda first, second, copies, cancels, budget, batch, cells, ask, many: BASE._replace(
-        coordinators=many, classes=(first, second), may_copy=copies, may_cancel=cancels, cells=cells,
-        width=min(2, cells), parts_per_call=batch, must_ask_membership=ask,
-        budget_free=2.0 if budget else None, budget_share=0.2 if budget else None, budget_span=budget,
+        coordinators=many,
+        classes=(first, second),
+        may_copy=copies,
+        may_cancel=cancels,
+        cells=cells,
+        width=min(2, cells),
+        parts_per_call=batch,
+        must_ask_membership=ask,
+        budget_free=2.0 if budget else None,
+        budget_share=0.2 if budget else None,
+        budget_span=budget,
     ),
-    CLASSES, CLASSES, st.booleans(), st.booleans(), st.sampled_from([None, 1.0, 5.0]),
-    st.sampled_from([1, 4]), st.sampled_from([1, 3]), st.booleans(), st.sampled_from([1, 60]),
+    CLASSES,
+    CLASSES,
+    st.booleans(),
+    st.booleans(),
+    st.sampled_from([None, 1.0, 5.0]),
+    st.sampled_from([1, 4]),
+    st.sampled_from([1, 3]),
+    st.booleans(),
+    st.sampled_from([1, 60]),
 )
 STEPS = st.lists(
-    st.tuples(st.sampled_from(["query", "end", "end", "end", "wait", "stall", "member", "fail list"]),
-              st.integers(0, 9999), st.sampled_from(list(api.Outcome))),
-    min_size=20, max_size=120,
+    st.tuples(
+        st.sampled_from(["query", "end", "end", "end", "wait", "stall", "member", "fail list"]),
+        st.integers(0, 9999),
+        st.sampled_from(list(api.Outcome)),
+    ),
+    min_size=20,
+    max_size=120,
 )
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -50,7 +50,9 @@
 
 
 def test_all_faults_at_once(tmp_path: Path) -> None:
-    text = GOOD.replace("aim = 1.0", "aim = 3.0").replace('zone = "y"', 'zone = "z"') + """
+    text = (
+        GOOD.replace("aim = 1.0", "aim = 3.0").replace('zone = "y"', 'zone = "z"')
+        + """
 repeat_windw = 1.0
 [limits]
 senders = 0
@@ -59,19 +61,25 @@
 [listen]
 port = 70000
 """
-    assert sorted(faults(text, tmp_path)) == sorted([
-        "fleet.zone: 'z' is not one of x, y",
-        "class[0].repeat_windw: not a known key; is repeat_window meant?",
-        "limits.senders: input should be greater than 0, not 0",
-        "limits.parts_per_cal: not a known key; is parts_per_call meant?",
-        "limits.open: input should be a valid integer, unable to parse string as an integer, not 'many'",
-        "listen.port: input should be less than or equal to 65535, not 70000",
-    ])
+    )
+    assert sorted(faults(text, tmp_path)) == sorted(
+        [
+            "fleet.zone: 'z' is not one of x, y",
+            "class[0].repeat_windw: not a known key; is repeat_window meant?",
+            "limits.senders: input should be greater than 0, not 0",
+            "limits.parts_per_cal: not a known key; is parts_per_call meant?",
+            "limits.open: input should be a valid integer, unable to parse string as an integer, not 'many'",
+            "listen.port: input should be less than or equal to 65535, not 70000",
+        ]
+    )
     assert faults(GOOD.replace("aim = 1.0", "aim = 3.0"), tmp_path) == [
-        "class[0].aim: 3 s is past the deadline of 2 s"]
+        "class[0].aim: 3 s is past the deadline of 2 s"
+    ]
     assert faults(GOOD + 'semantics = "keyed"\n', tmp_path)[0].startswith("class[0].repeat_window: goes with")
     assert faults(GOOD.replace("[fleet]", "[fleat]"), tmp_path) == [
-        "fleet: missing", "fleat: not a known key; is fleet meant?"]
+        "fleet: missing",
+        "fleat: not a known key; is fleet meant?",
+    ]
     assert "line 1" in faults("x = = 1", tmp_path)[0]
 
 
@@ -89,21 +97,28 @@
 
 
 def test_list_faults_name_their_place() -> None:
-    text = (ROW.format(1, 1, "h:1", 0, "ready") + ROW.format(1, 2, "h", 9, "resting") + "colour = 1\n"
-            + ROW.format(1, 3, "h:2", 1, "gone"))
+    text = (
+        ROW.format(1, 1, "h:1", 0, "ready")
+        + ROW.format(1, 2, "h", 9, "resting")
+        + "colour = 1\n"
+        + ROW.format(1, 3, "h:2", 1, "gone")
+    )
     with pytest.raises(ListError) as caught:
         parse(text, ("x",), 2, 0.0)
     assert str(caught.value).splitlines() == [
-        "node[1].colour: not a known key", "node[1].cell: must be a whole number from 0 to 1",
-        "node[1].state: must be ready, draining or gone", "node[1].address: must be HOST:PORT",
+        "node[1].colour: not a known key",
+        "node[1].cell: must be a whole number from 0 to 1",
+        "node[1].state: must be ready, draining or gone",
+        "node[1].address: must be HOST:PORT",
         "node[2].id: 1 stands twice",
     ]
     with pytest.raises(ListError, match="no server at all"):
         parse("", ("x",), 2, 0.0)
 
 
-def member(number: int, state: api.ReplicaState = api.ReplicaState.READY, port: int = 1,
-           started: float | None = None) -> Member:
+def member(
+    number: int, state: api.ReplicaState = api.ReplicaState.READY, port: int = 1, started: float | None = None
+) -> Member:
     return Member(number, f"n{number}", ("h", port), 0, 0, state, started)
 
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -59,11 +59,16 @@
 
 
 @given(
-    weights=st.lists(st.floats(1e-6, 1.0), min_size=1, max_size=30), mask=st.integers(0, (1 << 30) - 1),
-    least=st.floats(0.05, 1.0), whole=st.floats(0.05, 1.0),
+    weights=st.lists(st.floats(1e-6, 1.0), min_size=1, max_size=30),
+    mask=st.integers(0, (1 << 30) - 1),
+    least=st.floats(0.05, 1.0),
+    whole=st.floats(0.05, 1.0),
 )
 def test_no_answer_is_permitted_under_its_share(
-    weights: list[float], mask: int, least: float, whole: float,
+    weights: list[float],
+    mask: int,
+    least: float,
+    whole: float,
 ) -> None:
     """Held against exact sums of what a client would send: six digits, adding up to about 1."""
     sent = [max(round(w / sum(weights), 6), 1e-6) for w in weights]
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -45,7 +45,7 @@
 ) -> None:
     log, stream = written
     why = api.EndReason.PARTS_LOST
-    log.info("query_settled", request="a b=\"c\"\n", reason=why, seconds=0.25, whole=True)
+    log.info("query_settled", request='a b="c"\n', reason=why, seconds=0.25, whole=True)
     until(stream.lines, "a line")
     (line,) = stream.lines()
     assert "node=n7 level=info event=query_settled" in line and 'reason="too many parts lost"' in line
@@ -145,7 +145,8 @@
 
 
 def test_what_went_wrong_with_a_query_and_with_its_replica_is_logged(
-    tmp_path: Path, capfd: pytest.CaptureFixture[str],
+    tmp_path: Path,
+    capfd: pytest.CaptureFixture[str],
 ) -> None:
     replicas = [Replica(0, lambda wire, part: wire.answer(part.id, "broke")) for _ in range(2)]
     platform = Platform(tmp_path, *replicas)
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -49,9 +49,15 @@
     """One batch sends the parts of two queries to one replica: the one with 1.2 s left had it told 7.89 s."""
     config = BASE._replace(classes=(query_class(aim=2.0, deadline=8.0),), coordinators=1, parts_per_call=8)
     driver = Driver(Coordinator(config, 5), config)
-    driver.step(10.0, [t.Listed(
-        api.MembershipChanged(api.ListKind.FULL, (replica(1),)), {1: ("127.0.0.1", 1)},
-    )])
+    driver.step(
+        10.0,
+        [
+            t.Listed(
+                api.MembershipChanged(api.ListKind.FULL, (replica(1),)),
+                {1: ("127.0.0.1", 1)},
+            )
+        ],
+    )
     travel = FrameTravel()
 
     def arrived(number: int, left: float) -> t.Arrived:
@@ -90,6 +96,7 @@
 
 def tended(links: Links, true: Callable[[], object]) -> Callable[[], object]:
     """A state that comes about as the decision thread takes its turns."""
+
     def check() -> object:
         links.tend()
         return true()
@@ -209,7 +216,9 @@
 
 @pytest.mark.parametrize("code", LOCAL_ERRORS, ids=errno.errorcode.get)
 def test_a_connect_that_fails_here_is_not_held_against_its_replica(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, code: int,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    code: int,
 ) -> None:
     failing = [True]
     real = socket.socket.connect_ex
@@ -257,7 +266,8 @@
 
 
 def test_a_link_that_is_not_up_and_breaks_inside_has_proof_that_nothing_ran(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     def came_up(self: Link) -> None:
         raise ValueError("a bug")
@@ -276,7 +286,10 @@
 @pytest.mark.parametrize("code", [errno.ENOBUFS, errno.ENOMEM])
 @pytest.mark.parametrize("call", ["recv", "send"])
 def test_reads_and_writes_that_fail_for_want_of_memory_go_on(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str, code: int,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    call: str,
+    code: int,
 ) -> None:
     """At the co-ordinator's ends of all connections; the test's own are left alone."""
     platform = Platform(tmp_path)
@@ -369,14 +382,16 @@
 
 
 def test_a_request_without_a_thread_waits_for_one(
-    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+    platform: Platform,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     threads = NoThreads(monkeypatch, 3)
     assert platform.ask("q1", {0: 1.0})[0] == 200 and not threads.left
 
 
 def test_a_request_that_gets_no_thread_is_refused(
-    platform: Platform, monkeypatch: pytest.MonkeyPatch,
+    platform: Platform,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     NoThreads(monkeypatch, 1 << 30)
     assert platform.ask("q1", {0: 1.0})[0] == 503
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -41,8 +41,11 @@
 )
 
 LIMITS = Limits(fan_out=4, levels=2, ring=6, width=2, leaf_attempts=3)
-names = st.lists(st.text(st.characters(codec="utf-8", exclude_characters="|"), min_size=1, max_size=4),
-                 unique=True, max_size=40).map(sorted)
+names = st.lists(
+    st.text(st.characters(codec="utf-8", exclude_characters="|"), min_size=1, max_size=4),
+    unique=True,
+    max_size=40,
+).map(sorted)
 
 
 @given(names, st.data())
@@ -71,9 +74,13 @@
 def test_lies_about_coverage_are_caught() -> None:
     asked = ["a", "b", "c"]
     for bitmap, counts, what in (
-        ("!", "", "base64"), ("Bw==", "1.1", "2 for 3"), ("Dw==", "1x4", "past the last"),
+        ("!", "", "base64"),
+        ("Bw==", "1.1", "2 for 3"),
+        ("Dw==", "1x4", "past the last"),
         ("Bwc=", "1x3", "2 bytes"),
-        ("Bw==", "1x4", "more than"), ("Bw==", "1.-1.1", "no run"), ("Bw==", "9999999999x3", "no run"),
+        ("Bw==", "1x4", "more than"),
+        ("Bw==", "1.-1.1", "no run"),
+        ("Bw==", "9999999999x3", "no run"),
     ):
         with pytest.raises(CoverageError, match=what):
             coverage.decode(asked, bitmap, counts)
@@ -92,28 +99,34 @@
         fresh = total.add(source, held)
         assert fresh == (held & set(leaves)) - seen, "none twice, none that was not asked for"
         seen |= fresh
-    assert total.share == pytest.approx(sum((i + 1) for i in range(count) if f"l{i}" in seen)
-                                        / sum(range(1, count + 1)))
+    assert total.share == pytest.approx(
+        sum((i + 1) for i in range(count) if f"l{i}" in seen) / sum(range(1, count + 1))
+    )
     assert total.whole == (len(seen) == count) and total.missing() == [n for n in leaves if n not in seen]
 
 
 tasks = st.builds(
-    Task, st.integers(0, 200).map(lambda n: tuple(f"t{i:03d}" for i in range(n))), st.floats(0.01, 10.0),
-    st.integers(0, 3), st.integers(0, 3), st.just(()),
+    Task,
+    st.integers(0, 200).map(lambda n: tuple(f"t{i:03d}" for i in range(n))),
+    st.floats(0.01, 10.0),
+    st.integers(0, 3),
+    st.integers(0, 3),
+    st.just(()),
 )
 costs = st.lists(st.tuples(st.integers(1, 80), st.floats(0.001, 1.0), st.floats(0.001, 1.0)), max_size=30)
 
 
 @given(tasks, st.lists(st.integers(0, 5), unique=True).map(sorted), st.integers(0, 99), costs)
-def test_a_cut_is_a_partition_within_bounds(task: Task, free: list[int], spin: int,
-                                           seen: list[tuple[int, float, float]]) -> None:
+def test_a_cut_is_a_partition_within_bounds(
+    task: Task, free: list[int], spin: int, seen: list[tuple[int, float, float]]
+) -> None:
     learned = Costs()
     for leaves, flat, subtree in seen:
         learned.flat.learn(leaves, flat)
         learned.subtree.learn(leaves, subtree)
     plan = cut(task, free, spin, LIMITS, learned)
     if not plan.subtrees:
-        assert (task.levels == 0 or not free or len(task.leaves) <= LIMITS.fan_out or task.attempts < 1)
+        assert task.levels == 0 or not free or len(task.leaves) <= LIMITS.fan_out or task.attempts < 1
         return
     assert task.levels > 0 and task.attempts > 0
     assert [leaf for subtree in plan.subtrees for leaf in subtree.leaves] == list(task.leaves)
@@ -134,8 +147,11 @@
     assert max(load) == min(load)
 
 
-@given(st.dictionaries(st.sampled_from("abcdefgh"), st.integers(0, 5)), st.sets(st.sampled_from("abcdefgh")),
-       st.lists(st.sampled_from("abcdefghz"), max_size=4))
+@given(
+    st.dictionaries(st.sampled_from("abcdefgh"), st.integers(0, 5)),
+    st.sets(st.sampled_from("abcdefgh")),
+    st.lists(st.sampled_from("abcdefghz"), max_size=4),
+)
 def test_no_place_leads_back_up(places: dict[str, int], ready: set[str], trail: list[str]) -> None:
     peers = Peers(places, frozenset(ready & set(places)))
     for place in free_places(peers, trail, LIMITS):
@@ -150,7 +166,9 @@
     task = Task(("a", "b", "c", "d"), 1.0, 1, 1, ("r", "m"))
     admit(task, "x", LIMITS, learned)
     for bad, name, loop in (
-        (task, "m", True), (task._replace(levels=3), "x", True), (task._replace(left=0.02), "x", False),
+        (task, "m", True),
+        (task._replace(levels=3), "x", True),
+        (task._replace(left=0.02), "x", False),
         (task._replace(trail=tuple("abcdefghijklmnopq")), "x", True),
     ):
         with pytest.raises(Refusal) as caught:
--- a/tests/test_tree_sockets.py
+++ b/tests/test_tree_sockets.py
@@ -28,7 +28,11 @@
     """A child co-ordinator as its parent sees it: a real one behind it, what it replies changed."""
 
     def __init__(
-        self, behind: tuple[str, int], change: Change, strip: bool = False, cut_off: str = "",
+        self,
+        behind: tuple[str, int],
+        change: Change,
+        strip: bool = False,
+        cut_off: str = "",
     ) -> None:
         self._cut_off = cut_off  # a root whose calls do not get through
         self._client, self._change, self._strip = Client(behind), change, strip
@@ -42,11 +46,13 @@
         self.asked += 1
         skip = ("host", "content-length")
         fields = [
-            (k, v) for k, v in request.headers.pairs
+            (k, v)
+            for k, v in request.headers.pairs
             if k not in skip and not (self._strip and k.startswith("gingervane"))
         ]
-        head = http1.head(f"POST {request.target} HTTP/1.1",
-                          [("Host", "x"), ("Content-Length", str(len(body))), *fields])
+        head = http1.head(
+            f"POST {request.target} HTTP/1.1", [("Host", "x"), ("Content-Length", str(len(body))), *fields]
+        )
         status, headers, got = self._client.exchange(head + body, PATIENCE)
         kept = [(k, v) for k, v in headers.pairs if k != "content-length"]
         return self._change(Reply(status, kept, got), self)
@@ -107,8 +113,13 @@
 
 def short(reply: Reply, child: Child) -> Reply:
     """An older child that lost a tile on its way and does not say so: what has no series is not counted."""
-    return edited(reply, lambda found: [s for s in found if tile(s) != tile(found[0])],
-                  gingervane_leaves="", gingervane_counts="", gingervane_used="")
+    return edited(
+        reply,
+        lambda found: [s for s in found if tile(s) != tile(found[0])],
+        gingervane_leaves="",
+        gingervane_counts="",
+        gingervane_used="",
+    )
 
 
 @pytest.fixture
@@ -287,10 +298,16 @@
     body = snappy.compress(remote_read.write_request([remote_read.write_query(ALL)]))
 
     def from_above(timeout: str) -> bytes:
-        return http1.head(f"POST /api/v1/read?class=area-report&timeout={timeout} HTTP/1.1", [
-            ("Host", "x"), ("Content-Length", str(len(body))), ("Gingervane-Levels", "0"),
-            ("Gingervane-Attempts", "1"), ("Gingervane-Trail", "c0"),
-        ])
+        return http1.head(
+            f"POST /api/v1/read?class=area-report&timeout={timeout} HTTP/1.1",
+            [
+                ("Host", "x"),
+                ("Content-Length", str(len(body))),
+                ("Gingervane-Levels", "0"),
+                ("Gingervane-Attempts", "1"),
+                ("Gingervane-Trail", "c0"),
+            ],
+        )
 
     for _ in range(10):  # from which the child learns what it needs
         assert client.exchange(from_above("4s") + body, PATIENCE)[0] == 200
@@ -309,7 +326,10 @@
 def test_cancel_runs_down_the_tree() -> None:
     """The client leaves; nothing stays at any level."""
     fleet = Embedded(
-        nodes=6, tiles=24, model=Model(work=30.0, queue=10_000), coordinators=5,
+        nodes=6,
+        tiles=24,
+        model=Model(work=30.0, queue=10_000),
+        coordinators=5,
         tree={"fan_out": 3, "levels": 2, "width": 2},
         overrides={"class": [{"name": "point-lookup", "aim": 500.0, "deadline": 600.0}]},
     )
@@ -319,8 +339,13 @@
             sock.sendall(Client(fleet.address).request([ALL], {}))
             eventually(lambda: sum(app.core.calls_held for app in fleet.apps) >= 6)
             assert fleet.app._front.cuts == 1
-        eventually(lambda: all(core.admission.open == 0 and core.calls_held == 0
-                               for app in fleet.apps for core in app._cores()))
+        eventually(
+            lambda: all(
+                core.admission.open == 0 and core.calls_held == 0
+                for app in fleet.apps
+                for core in app._cores()
+            )
+        )
     finally:
         fleet.close()
 
--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -97,8 +97,13 @@
     client = QdrantClient(host=host, port=port, check_compatibility=False)
     rng = np.random.default_rng(5)
     vectors = {n: rng.normal(size=4).round(3).tolist() for n in range(300)}
-    done = client.upsert("cos", [models.PointStruct(id=n, vector=v, payload={"even": n % 2 == 0, "n": n})
-                                 for n, v in vectors.items()])
+    done = client.upsert(
+        "cos",
+        [
+            models.PointStruct(id=n, vector=v, payload={"even": n % 2 == 0, "n": n})
+            for n, v in vectors.items()
+        ],
+    )
     assert done.status is models.UpdateStatus.COMPLETED
     wanted = [0.3, -1.0, 0.5, 0.2]
     for k, offset in ((1, 0), (10, 0), (10, 7), (1000, 0)):
@@ -109,9 +114,13 @@
     assert [p.id for p in found] == brute({n: v for n, v in vectors.items() if n % 2 == 0}, wanted, 20)
     assert found[0].payload and found[0].payload["even"] and found[0].vector == vectors[int(found[0].id)]
     few = models.Filter(must=[models.HasIdCondition(has_id=[3, 4])])
-    both = client.query_batch_points("cos", [
-        models.QueryRequest(query=wanted, filter=few, limit=5), models.QueryRequest(query=wanted, limit=3),
-    ])
+    both = client.query_batch_points(
+        "cos",
+        [
+            models.QueryRequest(query=wanted, filter=few, limit=5),
+            models.QueryRequest(query=wanted, limit=3),
+        ],
+    )
     assert [{p.id for p in one.points} for one in both] == [{3, 4}, set(brute(vectors, wanted, 3))]
     best = found[0].score
     near = client.query_points("cos", query=wanted, query_filter=even, score_threshold=best, limit=5).points
@@ -148,8 +157,12 @@
     ("POST", "cos/points/search", {"vector": [1, 0, 0, 0], "limit": 20000}, "limit: 20000"),
     ("POST", "cos/points/search", {"vector": [1, 0, 0, 0], "using": "x"}, "using: not served here"),
     ("POST", "cos/points/query", {"query": {"recommend": {}}}, "query: named and sparse"),
-    ("POST", "cos/points/search", {"vector": [1, 0, 0, 0], "filter": {"must": [{"key": "a"}]}},
-     "filter.must[0]: match (value"),
+    (
+        "POST",
+        "cos/points/search",
+        {"vector": [1, 0, 0, 0], "filter": {"must": [{"key": "a"}]}},
+        "filter.must[0]: match (value",
+    ),
     ("POST", "cos/points/payload?increment=true", {"payload": {"n": 1.5}, "points": [1]}, "payload.n: 1.5"),
     ("POST", "cos/points/delete", {"filter": {}, "points": [1]}, "filter: writes by filter"),
     ("POST", "none/points/search", {"vector": [1]}, "Collection `none` doesn't exist"),
@@ -165,7 +178,11 @@
 
 @pytest.mark.parametrize(("method", "path", "content", "what"), BAD)
 def test_bad_input_has_one_clear_error(
-    shared: Fleet, method: str, path: str, content: Any, what: str,
+    shared: Fleet,
+    method: str,
+    path: str,
+    content: Any,
+    what: str,
 ) -> None:
     status, found, _ = shared.call(method, path, content)
     assert status in (400, 404) and what in found["status"]["error"]
@@ -307,7 +324,9 @@
         for node in fleet.vectors.nodes:
             node.fault("lose_answers", 600.0, 1.0)
         status, _, _ = fleet.call(
-            "PUT", "cos/points?timeout=400ms", {"points": [{"id": 2, "vector": [1, 0, 0, 0]}]},
+            "PUT",
+            "cos/points?timeout=400ms",
+            {"points": [{"id": 2, "vector": [1, 0, 0, 0]}]},
             ("Idempotency-Key", "lost"),
         )
         assert status == 502, "it may have run: no promise"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -60,8 +60,11 @@
     "large body": (START + b"Content-Length: 1001\r\n\r\n", 413, "1001"),
     "chunk size": (START + b"Transfer-Encoding: chunked\r\n\r\n-1\r\n", 400, "chunk 1"),
     "chunk end": (START + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n", 400, "chunk 1"),
-    "large chunks": (START + b"Transfer-Encoding: chunked\r\n\r\n" + b"190\r\n" + b"a" * 400 + b"\r\n"
-                     + b"300\r\n", 413, "chunk 2"),
+    "large chunks": (
+        START + b"Transfer-Encoding: chunked\r\n\r\n" + b"190\r\n" + b"a" * 400 + b"\r\n" + b"300\r\n",
+        413,
+        "chunk 2",
+    ),
 }
 
 
@@ -89,10 +92,32 @@
     assert read(data, step) == want
 
 
-@given(st.one_of(st.binary(max_size=600), st.lists(st.sampled_from(
-    [b"POST / HTTP/1.1", b"\r\n", b"\n", b"Host: x", b"Content-Length: 5", b"Transfer-Encoding: chunked",
-     b"5",
-     b"0", b"abcde", b" ", b":", b"\r", b"HTTP/1.1 200 OK"]), max_size=20).map(b"".join)), st.integers(1, 9))
+@given(
+    st.one_of(
+        st.binary(max_size=600),
+        st.lists(
+            st.sampled_from(
+                [
+                    b"POST / HTTP/1.1",
+                    b"\r\n",
+                    b"\n",
+                    b"Host: x",
+                    b"Content-Length: 5",
+                    b"Transfer-Encoding: chunked",
+                    b"5",
+                    b"0",
+                    b"abcde",
+                    b" ",
+                    b":",
+                    b"\r",
+                    b"HTTP/1.1 200 OK",
+                ]
+            ),
+            max_size=20,
+        ).map(b"".join),
+    ),
+    st.integers(1, 9),
+)
 def test_any_bytes_end_in_a_known_way(data: bytes, step: int) -> None:
     for work in (lambda: read(data, step), lambda: reader(data, step).response()):
         with contextlib.suppress(HttpError, Closed):
@@ -103,7 +128,8 @@
 matchers = st.builds(Matcher, st.sampled_from(list(Match)), names, st.text(max_size=5))
 times = st.integers(-(1 << 40), 1 << 45)
 queries = st.tuples(times, times, st.lists(matchers, max_size=3)).map(
-    lambda q: Query(min(q[:2]), max(q[:2]), tuple(q[2]), None))
+    lambda q: Query(min(q[:2]), max(q[:2]), tuple(q[2]), None)
+)
 
 
 @given(st.lists(queries, max_size=3), st.lists(st.sampled_from([0, 1]), max_size=2))
@@ -114,17 +140,23 @@
 
 def series(samples: dict[int, float], **labels: str) -> Series:
     at = sorted(samples)
-    return Series(tuple(sorted(labels.items())), np.array(at, np.int64),
-                  np.array([samples[t] for t in at], np.float64))
+    return Series(
+        tuple(sorted(labels.items())), np.array(at, np.int64), np.array([samples[t] for t in at], np.float64)
+    )
 
 
 def same(a: Series, b: Series) -> bool:
-    return (a.labels == b.labels and a.timestamps.tolist() == b.timestamps.tolist()
-            and a.values.tobytes() == b.values.tobytes() and a.histograms == b.histograms)
+    return (
+        a.labels == b.labels
+        and a.timestamps.tolist() == b.timestamps.tolist()
+        and a.values.tobytes() == b.values.tobytes()
+        and a.histograms == b.histograms
+    )
 
 
 samples = st.dictionaries(
-    st.one_of(st.integers(1_700_000_000_000, 1_700_000_100_000), times), st.floats(width=64), max_size=60)
+    st.one_of(st.integers(1_700_000_000_000, 1_700_000_100_000), times), st.floats(width=64), max_size=60
+)
 
 
 @given(st.lists(st.tuples(names, samples), max_size=3))
@@ -151,8 +183,13 @@
 def test_snappy_is_bounded_before_it_is_unpacked() -> None:
     good = snappy.compress(b"a" * 5000)
     assert snappy.decompress(good, 5000) == b"a" * 5000
-    for bad, what in ((good, "over the limit"), (pb.varint(4000) + b"\x00a", "claims"), (b"", "length"),
-                      (b"\xff" * 6, "length"), (pb.varint(10) + b"\x00ab", "malformed")):
+    for bad, what in (
+        (good, "over the limit"),
+        (pb.varint(4000) + b"\x00a", "claims"),
+        (b"", "length"),
+        (b"\xff" * 6, "length"),
+        (pb.varint(10) + b"\x00ab", "malformed"),
+    ):
         with pytest.raises(snappy.SnappyError, match=what):
             snappy.decompress(bad, 4999)
 
@@ -170,17 +207,30 @@
         assert one.timestamps.tolist() == sorted(met)
 
 
-@given(st.lists(st.sampled_from(["a", "b", "ab", "", "a.b", "c|d"]), unique=True, min_size=1),
-       st.lists(st.tuples(st.sampled_from(list(Match)), st.sampled_from(
-           ["a", "a|b", "a.*", ".+", "", "|a", "[ab]", "a.b", "(a|ab)", "zz|b"])), max_size=3))
+@given(
+    st.lists(st.sampled_from(["a", "b", "ab", "", "a.b", "c|d"]), unique=True, min_size=1),
+    st.lists(
+        st.tuples(
+            st.sampled_from(list(Match)),
+            st.sampled_from(["a", "a|b", "a.*", ".+", "", "|a", "[ab]", "a.b", "(a|ab)", "zz|b"]),
+        ),
+        max_size=3,
+    ),
+)
 def test_touched_shards_are_those_that_match(shards: list[str], asked: list[tuple[Match, str]]) -> None:
     index = ShardIndex("tile", shards)
     found = index.touched([Matcher(kind, "tile", value) for kind, value in asked])
     plain = [
-        i for i, name in enumerate(shards)
+        i
+        for i, name in enumerate(shards)
         if all(
-            (name == value if kind in (Match.EQUAL, Match.NOT_EQUAL)
-             else re.fullmatch(value, name, re.DOTALL) is not None) == (kind in (Match.EQUAL, Match.REGEX))
-            for kind, value in asked)
+            (
+                name == value
+                if kind in (Match.EQUAL, Match.NOT_EQUAL)
+                else re.fullmatch(value, name, re.DOTALL) is not None
+            )
+            == (kind in (Match.EQUAL, Match.REGEX))
+            for kind, value in asked
+        )
     ]
     assert found == plain
