Property test: time passes between two turns

Followed: in the example all answers come at the moment of their asking, so the hedge delay is nought and its timer is due at once; the test's clock stood at a tick, and 3,000 turns went by without a moment passing. Change: each turn moves the clock by 1 ms, as any decision thread's does.

--- a/tests/test_answers_property.py
+++ b/tests/test_answers_property.py
@@ -19,6 +19,9 @@
 from gingervane.policy import Coordinator
 from hosts import BASE, query_class, replica
 
+# Time passes between two turns, as it does for a decision thread: where latencies are nought, hedge timers are due
+# at once, and with a clock that stands they would be due for ever.
+TURN = 0.001  # seconds
 AIM, DEADLINE, SLACK = 0.5, 2.0, 1e-4  # seconds; of a sum of weights
 SHARES = ((1.0, 1.0), (0.75, 0.75), (0.5, 1.0), (0.5, 0.75), (1.0, 0.75), (0.7, 0.9))
 ROWS = tuple(replica(number, zone=number % 2) for number in range(4))
@@ -152,9 +155,9 @@
         """Timers fire in batches of their own."""
         until = self.now + seconds
         while (due := self.driver.next_due()) <= until:
-            self.now = max(self.now, due)
+            self.now = max(self.now + TURN, due)
             self.turn()
-        self.now = until
+        self.now = max(self.now, until)
 
     @rule(seconds=st.sampled_from([0.005, 0.1, AIM, 1.0]))
     def stand_still(self, seconds: float) -> None:
@@ -256,7 +259,7 @@
             due = self.driver.next_due()
             if due == float("inf"):
                 break
-            self.now = max(self.now, due)
+            self.now = max(self.now + TURN, due)
             self.turn()
         assert all(len(book.finals) == 1 for book in self.books.values())
         self.answers_are_honest()
