A failure that comes late is said in its front's own form

Change: only what is no failure or refusal is replaced. The node's front sets no such time: nothing changes there.

--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -219,7 +219,8 @@
             self._write(sock, plain(500, "failed: internal error", close=True))
             return After.END
         try:
-            if reply.until is not None and time.monotonic() >= reply.until:
+            late = reply.until is not None and time.monotonic() >= reply.until
+            if late and reply.status < 400:  # a failure or a refusal is said as its front has it
                 # What was to be said comes too late to count; a request that has been read is answered all the same,
                 # with a failure that promises nothing.
                 reply = plain(504, "failed: its time is up", close=True)._replace(done=reply.done)
--- a/tests/test_answers_property.py
+++ b/tests/test_answers_property.py
@@ -19,7 +19,7 @@
 from gingervane.policy import Coordinator
 from hosts import BASE, query_class, replica
 
-# Time passes between two turns, as it does for a decision thread: where latencies are nought, hedge timers are due
+# Time passes between two turns, as for a decision thread: where latencies are nought, hedge timers are due
 # at once, and with a clock that stands they would be due for ever.
 TURN = 0.001  # seconds
 AIM, DEADLINE, SLACK = 0.5, 2.0, 1e-4  # seconds; of a sum of weights
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -151,6 +151,17 @@
         assert done.wait(PATIENCE)
 
 
+def test_a_failure_whose_time_is_up_is_said_as_its_front_has_it() -> None:
+    """A vector client under a starved machine got plain text in the place of its front's JSON."""
+
+    def late(request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
+        return plain(502, "in the front's own words")._replace(until=time.monotonic() - 1.0)
+
+    for server in serve(late):
+        status, _, text = asked(server)
+        assert status == 502 and text == "in the front's own words\n"
+
+
 def test_a_handler_that_breaks_answers_and_the_next_is_served() -> None:
     broken = [True]
 
