A request that breaks is logged, failed client calls are counted, counters come on time

HttpServer.on_fault had no taker: a handler that broke was answered with 500 and told nowhere, where a thread's traceback had told of it before. Connections.failures was counted and never written. Counters were written only when no line came for a while, so not where the log is busy. Change: node and daemon log a broken request with its trace; client_calls_failed among the counters; the writer looks at the clock at each line.

--- a/gingervane/daemon/app.py
+++ b/gingervane/daemon/app.py
@@ -199,6 +199,7 @@
                 listen.stack_bytes,
             ),
         )
+        self._server.on_fault = lambda error: self._log.error("request broke", exc_info=error)
         rings = Rings(config.shards.cells, config.tree.ring if config.tree else 1)
         self.membership = MembershipService(
             config.membership,
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -168,6 +168,11 @@
         """Connections ended, by `ConnectionEnd`."""
         return self._connections.ends
 
+    @property
+    def failures(self) -> Mapping[str, int]:
+        """System calls that failed for want of something on this machine, by call and error."""
+        return self._connections.failures
+
     @property
     def refused(self) -> int:
         """Connections past the bound."""
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -180,6 +180,13 @@
         telemetry.add_source("attempts", lambda: counts.outcomes)
         telemetry.add_source("driver", counts.totals)
         telemetry.add_source("client_connections_ended", lambda: self.server.ends)
+        telemetry.add_source("client_calls_failed", lambda: self.server.failures)
+        self.server.on_fault = self._request_broke
+
+    def _request_broke(self, error: BaseException) -> None:
+        """From a client's thread: its request has been answered with 500."""
+        trace = "".join(traceback.format_exception(error))
+        self.telemetry.error("request_broke", error=f"{type(error).__name__}: {error}", trace=trace)
 
     def _link_ended(self, ended: LinkEnded) -> None:
         """From the decision thread or the links' reader."""
--- a/gingervane/node/telemetry.py
+++ b/gingervane/node/telemetry.py
@@ -120,11 +120,12 @@
     def _run(self) -> None:
         due = time.monotonic() + DUMP_EVERY
         while True:
+            if time.monotonic() >= due:  # also where lines never cease to come
+                self._idle()
+                due = time.monotonic() + DUMP_EVERY
             try:
                 line = self._waiting.get(timeout=max(due - time.monotonic(), 0.01))
             except Empty:
-                self._idle()
-                due = time.monotonic() + DUMP_EVERY
                 continue
             if line is None:
                 break
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -174,3 +174,30 @@
     program.wait()
     program.stderr.close()
     platform.close()
+
+
+def test_a_request_that_breaks_is_logged_with_its_trace(
+    capfd: pytest.CaptureFixture[str], platform: Platform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It is answered with 500, and so nothing else would tell of it."""
+
+    def breaks(*args: object) -> None:
+        raise KeyError("a bug")
+
+    monkeypatch.setattr(platform.node.front, "_read", breaks)
+    assert platform.ask("q1", {0: 1.0})[0] == 500
+    platform.node.telemetry.stop()
+    said = capfd.readouterr().err
+    assert "level=error event=request_broke" in said and "a bug" in said and "Traceback" in said
+
+
+def test_counters_are_written_where_lines_never_cease(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "DUMP_EVERY", 0.0)  # due at each line
+    stream = Lines()
+    log = Telemetry(stream)
+    log.counters.add("queries_failed", "x")
+    for _ in range(5):
+        log.info("storm")
+    log.start()
+    until(lambda: "event=counters" in stream.getvalue(), "counters")
+    log.stop()
