--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -177,16 +177,17 @@
 
 
 def test_a_request_that_breaks_is_logged_with_its_trace(
-    capfd: pytest.CaptureFixture[str], platform: Platform, monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
 ) -> None:
     """It is answered with 500, and so nothing else would tell of it."""
 
     def breaks(*args: object) -> None:
         raise KeyError("a bug")
 
+    platform = Platform(tmp_path)
     monkeypatch.setattr(platform.node.front, "_read", breaks)
     assert platform.ask("q1", {0: 1.0})[0] == 500
-    platform.node.telemetry.stop()
+    platform.close()
     said = capfd.readouterr().err
     assert "level=error event=request_broke" in said and "a bug" in said and "Traceback" in said
 
