One test for a start that is told too early; long lists are not built twice

Found on reading the change once more: starts.py and membership/view.py each had the bound on a fresh start; discovery rebuilt each replica of a list, also those without a start, and read both clocks for each; the driver summed a query's coverage twice as it settled. Change: is_too_early serves both; clocks are read once a list, only replicas with a start are replaced; one coverage a settling. Measured: starts, membership, node, discovery, driver, policy, incident tests green; mypy and ruff clean.

--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -467,7 +467,7 @@
         query = self._queries.pop(number, None)
         if query is None:
             return
-        coverage = query.coverage.weight_in
+        coverage = query.coverage
         answered = verdict in (t.Verdict.WHOLE, t.Verdict.SHORT)
         results = query.results if answered else {}
         self.held_bytes -= query.held_bytes
@@ -480,13 +480,13 @@
             wait,
             why or query.why,
             query.path,
-            min(coverage, 1.0),
+            min(coverage.weight_in, 1.0),
             size,
             whole,
             reason,
             2 if query.second else 1,
-            len(query.asked),
-            len(query.results),
+            coverage.asked,
+            coverage.parts_in,
         )
         self.counts.reasons[reason.value] = self.counts.reasons.get(reason.value, 0) + 1
         self.counts.verdicts[verdict.value] = self.counts.verdicts.get(verdict.value, 0) + 1
--- a/gingervane/coordinator/starts.py
+++ b/gingervane/coordinator/starts.py
@@ -24,6 +24,11 @@
 MOST_KNOWN = 8192  # starts that are remembered; the oldest go first
 
 
+def is_too_early(start: float, told: float | None) -> bool:
+    """Whether a start that is news lies too long before `told`, when the list before it came (None: no list)."""
+    return told is not None and start < told - LISTING_LAG
+
+
 class StartClock:
     """Places starts. Owner: the thread that reads lists."""
 
@@ -46,7 +51,8 @@
         """
         now = self._monotonic()
         self._correct(max(starts.values(), default=0.0), now)
-        found = {replica: self._place(replica, start, now) for replica, start in starts.items()}
+        stepped = self._monotonic() - self._wall()
+        found = {replica: self._place(replica, start, now, stepped) for replica, start in starts.items()}
         for replica, start in starts.items():
             self._known.pop(replica, None)
             self._known[replica] = start, found[replica]
@@ -67,17 +73,17 @@
             self.corrections += latest + self._offset > now + STEP
             self._offset = now - latest
 
-    def _place(self, replica: int, start: float, now: float) -> float:
+    def _place(self, replica: int, start: float, now: float, stepped: float) -> float:
+        """`stepped`: the offset between the clocks as it is now."""
         if not start:
             return 0.0
         known = self._known.get(replica)
         if known is not None and known[0] == start:
             return known[1]
         place = start + self._offset
-        stepped = self._monotonic() - self._wall()
         if abs(stepped - self._first) > STEP and place < start + stepped <= now:
             place = start + stepped
-        if self._heard is not None and place < self._heard - LISTING_LAG:
+        if is_too_early(place, self._heard):
             self.corrections += 1
             self._offset = now - start  # at most: what is told next brings it down again
             return now
--- a/gingervane/membership/view.py
+++ b/gingervane/membership/view.py
@@ -14,7 +14,7 @@
 from typing import Any, NamedTuple
 
 from gingervane import interface as api
-from gingervane.coordinator.starts import LISTING_LAG
+from gingervane.coordinator.starts import is_too_early
 from gingervane.coordinator.types import Listed
 
 
@@ -124,7 +124,7 @@
 
         A member that is listed for the first time may have run for long: lists are written by people too.
         """
-        if restarted and self._told is not None and started < self._told - LISTING_LAG:
+        if restarted and is_too_early(started, self._told):
             return now
         return min(started, now)
 
--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -133,12 +133,13 @@
         cached: bool,
     ) -> dict[int, tuple[api.Replica, Address | None]]:
         """The same entries with starts on the monotonic clock."""
-        listed = {n: r.started_at for n, (r, _) in found.items() if r.state is not api.ReplicaState.GONE}
+        listed = {n: r.started_at for n, (r, _) in found.items() if r.started_at}
         before = self._starts.corrections
         places = self._starts.place(listed, cached)
         if self._starts.corrections > before:
             self._log("wall_clock_doubted", corrections=self._starts.corrections)
-        return {n: (r._replace(started_at=places.get(n, 0.0)), where) for n, (r, where) in found.items()}
+        moved = {n: (found[n][0]._replace(started_at=place), found[n][1]) for n, place in places.items()}
+        return found | moved
 
     def _remember(self, names: dict[int, str], whole: bool) -> None:
         """Keep names for the log; those that a whole list does not hold are forgotten, which bounds the memory."""
