One bounded retry for reads and writes of clients; a new connection is registered once

Found on reading the change once more: reading a request and writing a reply each had the same loop around a call that fails for want of memory; each new connection was modified in the poll, which failed, and then registered. Change: _within serves both; a connection knows whether it is registered, so that a new one takes one call less. Behaviour is the same.

--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -91,6 +91,7 @@
         self.replied = (
             -inf
         )  # when the request before this one was done with; the first may lie there since ever
+        self.registered = False  # with the poll
         self.waits_since = 0.0  # when a request began that no thread could be had for; 0: none waits
         self._phase, self._gone, self._until, self._drained = _Phase.RESTING, _nobody, inf, 0
 
@@ -323,21 +324,14 @@
     def _arm(self, one: Connection) -> None:
         """Have the next thing that its phase waits for told once."""
         what = select.EPOLLRDHUP if one._phase is _Phase.AT_WORK else select.EPOLLIN | select.EPOLLRDHUP
+        ask = self._poll.modify if one.registered else self._poll.register
         try:
-            self._poll.modify(one.number, what | select.EPOLLONESHOT)
-        except FileNotFoundError:  # a new one
-            self._register(one, what | select.EPOLLONESHOT)
+            ask(one.number, what | select.EPOLLONESHOT)
+            one.registered = True
         except OSError as error:
             self._failed("epoll", error)
             self._unarmed[one] = None  # asked for again after a pause: what has come is told then
 
-    def _register(self, one: Connection, what: int) -> None:
-        try:
-            self._poll.register(one.number, what)
-        except OSError as error:
-            self._failed("epoll", error)
-            self._unarmed[one] = None
-
     def _begins(self, one: Connection) -> bool:
         """Whether a request begins on a resting connection; it is at work then."""
         if (found := _unread(one.sock)) is None:
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -11,7 +11,8 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
-from typing import NamedTuple, Protocol
+from functools import partial
+from typing import NamedTuple, Protocol, TypeVar
 
 from gingervane.coordinator import standstill
 from gingervane.coordinator.standstill import Standstill
@@ -22,6 +23,9 @@
 from gingervane.wire.tap import TAP
 
 
+T = TypeVar("T")
+
+
 class ServerLimits(NamedTuple):
     """Bounds on clients; seconds. `idle`: between messages; `head`, `body`: to read one; `write`: a reply.
 
@@ -97,17 +101,7 @@
         self._sock, self.until = sock, 0.0
 
     def receive(self, most: int) -> bytes:
-        while True:
-            left = self.until - time.monotonic()
-            if left <= 0:
-                raise TimeoutError
-            self._sock.settimeout(left)
-            try:
-                return self._sock.recv(most)
-            except OSError as error:
-                if not is_passing(error):
-                    raise
-            time.sleep(RETRY_PAUSE)  # a request that has been taken is not lost for want of memory here
+        return _within(self._sock, self.until, lambda: self._sock.recv(most))
 
 
 class _Reading(NamedTuple):
@@ -243,20 +237,27 @@
         _send_all(sock, data, time.monotonic() + self._limits.write)
 
 
-def _send_all(sock: socket.socket, data: bytes, until: float) -> None:
-    """Write all of it. Raises OSError if the other side is gone, or has not taken it by `until`."""
-    view = memoryview(data)
-    while view:
+def _within(sock: socket.socket, until: float, call: Callable[[], T]) -> T:
+    """What a call on a socket returns, made again where it fails for want of memory here: what a client has been
+    promised is not lost for that. Raises TimeoutError at `until`, or OSError."""
+    while True:
         left = until - time.monotonic()
         if left <= 0:
             raise TimeoutError
         sock.settimeout(left)
         try:
-            view = view[sock.send(view) :]
+            return call()
         except OSError as error:
             if not is_passing(error):
                 raise
-            time.sleep(RETRY_PAUSE)
+        time.sleep(RETRY_PAUSE)
+
+
+def _send_all(sock: socket.socket, data: bytes, until: float) -> None:
+    """Write all of it. Raises OSError if the other side is gone, or has not taken it by `until`."""
+    view = memoryview(data)
+    while view:
+        view = view[_within(sock, until, partial(sock.send, view)) :]
 
 
 def _ports(sock: socket.socket) -> tuple[int, int]:
