Each call to discovery is logged with its number, its stages and the reason of its end

Cause: the report of requests to drained replicas after the grace cannot be read from the logs that there are. They say when the watch changes its state, not how far a call came, what ended it, nor how old the knowledge was that the node served on. Change: `discovery_call_started` (call, version asked from, idle and silent seconds) and `discovery_call_ended` (reason of a closed set, seconds to the connection, first byte and first list, lines, lists, bytes); totals `discovery_calls[REASON]` and the gauge `discovery_silence[longest_ms]`. Behaviour of the watch is as it was.

--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -18,7 +18,8 @@
 import select
 import socket
 import time
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 from enum import Enum
 from math import inf
 from threading import Condition
@@ -28,6 +29,7 @@
 from gingervane import interface as api
 from gingervane.coordinator.types import EndpointsUpdated
 from gingervane.node.config import Address
+from gingervane.node.discovery_call import CallEnd, CallProgress
 from gingervane.node.endpoint_list import EndpointListError, EndpointListReader
 from gingervane.telemetry.node_telemetry import Log
 from gingervane.wire import http1
@@ -48,6 +50,10 @@
     WATCHING = "following"  # a list or a change has come on it
 
 
+class StatusError(EndpointListError):
+    """Discovery has answered a call with a status other than 200."""
+
+
 class DiscoveryWatch:
     """Follows discovery from `start` to `stop`."""
 
@@ -76,6 +82,11 @@
         self._sock: socket.socket | None = None
         self._line_deadline = inf  # of the watch's own thread
         self._state = WatchState.IDLE  # of the watch's own thread
+        self._call_ends = Counter[str]()  # of the watch's own thread; others read it
+        self._call_count = 0
+        self._call_ended_at = time.monotonic()
+        self._last_line_at = time.monotonic()  # the start, as long as none has come
+        self._longest_silence = 0.0  # seconds
 
     def start(self) -> None:
         """Start the thread that follows discovery."""
@@ -106,6 +117,15 @@
             self._change.notify()
             self._interrupt()
 
+    def call_ends(self) -> Mapping[str, int]:
+        """Return the number of calls by how they ended; any thread."""
+        return self._call_ends.copy()
+
+    def silence(self) -> Mapping[str, int]:
+        """Return the longest time without a line from discovery, the present one included; any thread."""
+        seconds = max(self._longest_silence, time.monotonic() - self._last_line_at)
+        return {"longest_ms": int(seconds * 1000)}
+
     def _interrupt(self) -> None:
         if self._sock:
             with contextlib.suppress(OSError):
@@ -151,22 +171,47 @@
 
     def _watch_until_failure(self, address: Address) -> str:
         """Watch once, and return why the watch ended; empty if it was moved or stopped before it connected."""
+        self._call_count += 1
+        call = CallProgress(self._call_count, address, self._reader.version)
+        call.log_start(self._log, call.started_at - self._call_ended_at, call.started_at - self._last_line_at)
+        detail = ""
+        reason = CallEnd.MOVED
         try:
-            self._watch_once(address)
+            self._watch_once(address, call)
         except (OSError, HttpError, ConnectionClosedError, EndpointListError, ValueTooLongError) as error:
-            return str(error) or type(error).__name__
+            detail = str(error) or type(error).__name__
+            reason = CallEnd.MOVED if self._is_interrupted() else _call_end_of(error, call)
         except Exception as error:  # noqa: BLE001 - a bug must not end the only thread that hears of changes
-            return f"internal: {type(error).__name__}: {error}"
-        return ""
+            detail = f"internal: {type(error).__name__}: {error}"
+            reason = CallEnd.INTERNAL
+        call.log_end(self._log, reason, detail)
+        self._call_ends[reason.value] += 1
+        self._call_ended_at = time.monotonic()
+        return detail
 
-    def _watch_once(self, address: Address) -> None:
+    def _is_interrupted(self) -> bool:
+        with self._change:
+            return self._moved or self._stopped
+
+    def _record_line(self, call: CallProgress) -> None:
+        """Note a line: up to now nothing else has changed, whatever is in it."""
+        now = time.monotonic()
+        call.lines += 1
+        self._longest_silence = max(self._longest_silence, now - self._last_line_at)
+        self._last_line_at = now
+        self._line_deadline = now + SILENCE_TIMEOUT
+        self._reader.record_activity()
+
+    def _watch_once(self, address: Address, call: CallProgress) -> None:
         """Send one request and follow its watch to the end, which is an error whatever it is."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._line_deadline = time.monotonic() + min(SILENCE_TIMEOUT, self._answer_timeout)
 
         def receive(most: int) -> bytes:
             sock.settimeout(self._time_left())
-            return sock.recv(most)
+            data = sock.recv(most)
+            call.record_bytes(len(data))
+            return data
 
         try:
             sock.setblocking(False)
@@ -177,33 +222,34 @@
                     return
                 self._sock = sock
             _await_connection(sock, code, self._time_left())
+            call.connected_at = time.monotonic()
             sock.settimeout(self._time_left())
-            target = f"/v1/endpoints?follow=1&since={self._reader.version}"
+            target = f"/v1/endpoints?follow=1&since={call.since}"
             sock.sendall(
                 http1.encode_head(f"GET {target} HTTP/1.1", [("Host", f"{address[0]}:{address[1]}")])
             )
             reader = Reader(receive, Limits(body=_MAX_VALUE_BYTES))
             reply = reader.response()
             if reply.status != 200:
-                raise EndpointListError(f"discovery: answered {reply.status} to a watch")
-            self._read_events(reader, reply)
+                raise StatusError(f"discovery: answered {reply.status} to a watch")
+            self._read_events(reader, reply, call)
             raise ConnectionClosedError(clean=True)
         finally:
             with self._change:
                 self._sock = None
             sock.close()
 
-    def _read_events(self, reader: Reader, reply: Response) -> None:
+    def _read_events(self, reader: Reader, reply: Response, call: CallProgress) -> None:
         """Read watch events to the end of the body. Lists may come indented."""
         values = JsonSplitter(_MAX_VALUE_BYTES)
         first_of_watch = True
         for data in reader.iter_body(reply.headers):
             if b"\n" in data:
-                self._line_deadline = time.monotonic() + SILENCE_TIMEOUT
-                self._reader.record_activity()
+                self._record_line(call)
             for value, is_json in values.feed(data):
                 if self._apply_value(value, is_json, first_of_watch):
                     first_of_watch = False
+                    call.record_list()
 
     def _time_left(self) -> float:
         seconds = self._line_deadline - time.monotonic()
@@ -227,6 +273,22 @@
         return True
 
 
+def _call_end_of(error: Exception, call: CallProgress) -> CallEnd:
+    """Return the reason for the log that belongs to the error with which a call ended."""
+    match error:
+        case TimeoutError():
+            return CallEnd.SILENT
+        case StatusError():
+            return CallEnd.STATUS
+        case ConnectionClosedError(clean=True):
+            return CallEnd.ENDED
+        case OSError() if not call.connected_at:
+            return CallEnd.UNREACHABLE
+        case OSError() | ConnectionClosedError():
+            return CallEnd.BROKEN
+    return CallEnd.MALFORMED
+
+
 def _await_connection(sock: socket.socket, code: int, timeout: float) -> None:
     """Wait for a connection that is being made. `code`: what starting it returned."""
     if code in (errno.EINPROGRESS, errno.EINTR):
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -150,6 +150,8 @@
         counts = self.core.driver_counts
         self.telemetry.add_source("attempts", lambda: counts.outcomes)
         self.telemetry.add_source("driver", counts.totals)
+        self.telemetry.add_source("discovery_calls", self.watch.call_ends)
+        self.telemetry.add_source("discovery_silence", self.watch.silence)
         self.telemetry.add_source("client_connections_ended", lambda: self.server.close_reasons)
         self.telemetry.add_source("client_calls_failed", lambda: self.server.failures)
 
--- a/gingervane/telemetry/events.py
+++ b/gingervane/telemetry/events.py
@@ -56,6 +56,14 @@
         "The endpoint list cached in the configuration could not be used.",
     )
     WATCH_STATE_CHANGED = "watch_state_changed", "The watch of discovery went from one state to another."
+    DISCOVERY_CALL_STARTED = (
+        "discovery_call_started",
+        "A call to discovery began; what is known is `silent_seconds` old.",
+    )
+    DISCOVERY_CALL_ENDED = (
+        "discovery_call_ended",
+        "A call to discovery ended, `reason` says why; -1 stands for what it never came to.",
+    )
     START_TIMES_CORRECTED = (
         "start_times_corrected",
         "The wall clock proved wrong; start times of replicas were corrected.",
