--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -98,6 +98,10 @@
         """Take an endpoint list, or a change to it."""
         self._inbox.put([update])
 
+    def watch_interrupted(self, silent_for: float) -> None:
+        """Take word that the watch of the endpoint list ended or fell silent, so many seconds after its last line."""
+        self._inbox.put([t.WatchInterrupted(silent_for)])
+
     def peer_message_received(self, sender: int, payload: bytes) -> None:
         """Take a message from another coordinator. Messages may be lost: with much to read, these go first."""
         if self._inbox.qsize() < MAX_INPUTS:
--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -119,12 +119,16 @@
     # ---- from inputs to events
 
     def _take_endpoints(self, inputs: Sequence[t.Input], turn: _Turn) -> list[api.Event]:
+        """Take lists and what became of their watch, in the order in which that happened."""
         events: list[api.Event] = []
         for item in inputs:
-            if isinstance(item, t.EndpointsUpdated):
-                self._addresses.update(item.addresses)
-                events.append(item.membership)
-                events += self._withdraw_replicas(item.membership, turn)
+            match item:
+                case t.EndpointsUpdated():
+                    self._addresses.update(item.addresses)
+                    events.append(item.membership)
+                    events += self._withdraw_replicas(item.membership, turn)
+                case t.WatchInterrupted(silent_for):
+                    events.append(api.WatchInterrupted(silent_for))
         return events
 
     def _withdraw_replicas(self, membership: api.MembershipChanged, turn: _Turn) -> list[api.Event]:
--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -170,6 +170,12 @@
     addresses: dict[int, tuple[str, int]]
 
 
+class WatchInterrupted(NamedTuple):
+    """The watch of the endpoint list has ended or fallen silent, so many seconds after its last line."""
+
+    silent_for: float
+
+
 class Shutdown(NamedTuple):
     """End all open queries: rejected where a client may repeat them without harm, else failed."""
 
@@ -182,7 +188,13 @@
 
 
 Input = (
-    QuerySubmitted | AttemptFinished | ClientDisconnected | EndpointsUpdated | Shutdown | PeerMessageReceived
+    QuerySubmitted
+    | AttemptFinished
+    | ClientDisconnected
+    | EndpointsUpdated
+    | WatchInterrupted
+    | Shutdown
+    | PeerMessageReceived
 )
 
 
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -91,6 +91,7 @@
             api.QueryAbandoned: self._on_query_abandoned,
             api.QueryArrived: self._on_query_arrived,
             api.TimerFired: self.context.fire,
+            api.WatchInterrupted: self.membership.watch.on_interruption,
         }
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
@@ -99,7 +100,7 @@
         self._selector.begin_batch()
         self._dispatcher.begin_batch()
         if self.context.batch == 1 and self.settings.membership_polled:
-            self.membership.watch()
+            self.membership.watch.ask()
         # What came during a pause of this process is read before any timer, or replicas that have answered
         # would be taken for silent.
         for event in sorted(events, key=_is_timer):
@@ -229,6 +230,10 @@
         replica = attempt.replica
         replica.last_answered_send_at = max(replica.last_answered_send_at, attempt.request.sent_at)
         replica.unresponsive_until = 0.0
+        if event.outcome is api.AttemptOutcome.OK:
+            replica.last_served_send_at = max(replica.last_served_send_at, attempt.request.sent_at)
+        elif event.outcome is api.AttemptOutcome.REJECTED:
+            replica.last_rejected_send_at = max(replica.last_rejected_send_at, attempt.request.sent_at)
         self._idle_connections.record_answer(attempt)
         if self.context.process_paused:
             return
--- /dev/null
+++ b/gingervane/decisions/membership_watch.py
@@ -0,0 +1,135 @@
+"""How old the knowledge of the endpoint list is, and when discovery is asked for it again.
+
+A change counts as notified `NOTIFIED_WITHIN` after discovery had it, whether or not it arrived. So the pause between
+two calls, and the wait for an answer before a further call is made beside it, are measured by the time that is left:
+calls come closer as it runs out, and co-ordinators whose knowledge is fresh leave the places in discovery's queue to
+those whose knowledge is old.
+
+While no watch is up, a replica holds a lease: what it has served proves that it did not drain when that was sent. One
+whose lease has run out, or that has only turned parts away since, is doubtful: others go first.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from functools import partial
+from math import inf
+
+from gingervane import interface as api
+from gingervane.decisions.batch_context import BatchContext
+from gingervane.decisions.replica_state import KnownReplica
+
+# Seconds after discovery had a change, and could be reached, by when it counts as notified: the platform's protocol.
+NOTIFIED_WITHIN = 6.0
+# Seconds that the list which a process finds at its start is taken to be old: nobody says how old it is.
+CACHED_LIST_AGE = 3.0
+# Seconds before a failed watch is asked for again at first. It is short and grows little: what an ended
+# watch missed counts as notified soon, and of many co-ordinators that ask some are rejected.
+INITIAL_BACKOFF = 0.1
+# Growth of the backoff with each failure in a row.
+BACKOFF_GROWTH = 1.5
+# Longest backoff, seconds.
+MAX_BACKOFF = 4 / 3
+# Random spread of the backoff as factors, so that co-ordinators do not ask in step.
+MIN_JITTER = 0.5
+MAX_JITTER = 1.5
+# The backoff is at most the time that is left over this: with its spread, several calls still fit in.
+BACKOFFS_IN_TIME_LEFT = 8
+# Shortest backoff for want of time, seconds.
+MIN_URGENT_BACKOFF = 0.05
+# Calls a second that all co-ordinators together make at most, if none of them has any time left.
+MAX_FLEET_CALL_RATE = 1000.0
+# A call that has not been answered gets another beside it after the time that is left over this ...
+WAITS_IN_TIME_LEFT = 3
+# ... but not sooner than this many seconds, as a place in discovery's queue is worth waiting for.
+MIN_WAIT = 0.75
+# Where lists are pushed the backoff is at most the drain grace over this, as all changes count as notified
+# at once when discovery is back, ...
+PUSHED_BACKOFFS_PER_GRACE = 4
+# ... and a call waits for the grace over this before there is another beside it.
+PUSHED_WAITS_PER_GRACE = 2
+
+
+class WatchPhase(Enum):
+    """What has been heard of the watch."""
+
+    PENDING = "pending"  # nothing yet, or nobody has asked
+    UP = "up"  # a list
+    DOWN = "down"  # since the last list: a failure, or no answer for too long
+
+
+class MembershipWatch:
+    """The watch of the endpoint list, as far as it is decided upon."""
+
+    def __init__(self, settings: api.Settings, context: BatchContext) -> None:
+        self._context = context
+        self._polled = settings.membership_polled
+        self._calls_may_overlap = settings.parallel_watch_calls > 1
+        self._pushed_grace = max(settings.drain_grace, settings.timer_granularity)
+        self._min_backoff = max(MIN_URGENT_BACKOFF, settings.coordinator_count / MAX_FLEET_CALL_RATE)
+        self._backoff = INITIAL_BACKOFF
+        self._phase = WatchPhase.PENDING
+        self._known_at = -inf  # while it is not up: when all was known that discovery had then
+        self._calls = 0  # that have been asked for
+        self._retry_pending = False
+
+    def ask(self) -> None:
+        """Ask for the endpoint list and its changes; once more beside that, if no answer comes in time."""
+        self._retry_pending = False
+        self._calls += 1
+        self._context.actions.append(api.WatchMembership())
+        if self._calls_may_overlap:
+            self._context.set_timer(self._longest_wait(), partial(self._hedge, self._calls))
+
+    def record_list(self) -> None:
+        """Note that a list has come, or a change, or word that there is none."""
+        self._backoff = INITIAL_BACKOFF
+        self._phase = WatchPhase.UP
+
+    def on_interruption(self, event: api.WatchInterrupted) -> None:
+        """Take word that the watch has ended or fallen silent."""
+        self.record_failure(event.silent_for)
+
+    def record_failure(self, silent_for: float = 0.0) -> None:
+        """Note that a call has failed, or that the watch last spoke so many seconds ago: ask again soon."""
+        if self._phase is WatchPhase.UP:
+            self._known_at = self._context.now - silent_for
+        self._phase = WatchPhase.DOWN
+        if self._retry_pending:
+            return
+        self._retry_pending = True
+        jitter = self._context.random.uniform(MIN_JITTER, MAX_JITTER)
+        self._context.set_timer(min(self._backoff, self._max_backoff()) * jitter, self.ask)
+        self._backoff = min(BACKOFF_GROWTH * self._backoff, MAX_BACKOFF)
+
+    def is_doubtful(self, replica: KnownReplica) -> bool:
+        """Whether a replica may have begun to drain, or have gone, without this being known in time."""
+        if self._phase is not WatchPhase.DOWN:
+            return False
+        if replica.last_rejected_send_at > replica.last_served_send_at:
+            return True
+        known_at = max(self._known_since(), replica.last_served_send_at)
+        return self._polled and self._context.now - known_at > NOTIFIED_WITHIN
+
+    def _hedge(self, call: int) -> None:
+        """Ask once more if the last call asked for is still without an answer."""
+        if call == self._calls and self._phase is not WatchPhase.UP and not self._retry_pending:
+            self._phase = WatchPhase.DOWN
+            self.ask()
+
+    def _known_since(self) -> float:
+        return max(self._known_at, self._context.started_at - CACHED_LIST_AGE)
+
+    def _time_left(self) -> float:
+        """Seconds until what is not known yet may count as notified."""
+        return self._known_since() + NOTIFIED_WITHIN - self._context.now
+
+    def _max_backoff(self) -> float:
+        if not self._polled:
+            return self._pushed_grace / PUSHED_BACKOFFS_PER_GRACE
+        return max(self._time_left() / BACKOFFS_IN_TIME_LEFT, self._min_backoff)
+
+    def _longest_wait(self) -> float:
+        if not self._polled:
+            return self._pushed_grace / PUSHED_WAITS_PER_GRACE
+        return max(self._time_left() / WAITS_IN_TIME_LEFT, MIN_WAIT)
--- a/gingervane/decisions/replica_selection.py
+++ b/gingervane/decisions/replica_selection.py
@@ -67,10 +67,12 @@
     def is_preferred(self, replica: KnownReplica, query: Query) -> bool:
         """Whether a part of the query should go to the replica if it is its turn.
 
-        It must be healthy or due for a trial, not blocked and not cold. A query of many parts that tried all
-        ejected replicas at once would wait for each, so trials are few.
+        It must surely serve, be healthy or due for a trial, not blocked and not cold. A query of many parts that
+        tried all ejected replicas at once would wait for each, so trials are few.
         """
         now = self._context.now
+        if self._membership.watch.is_doubtful(replica):
+            return False
         if replica.ejected_for:
             due = now >= replica.ejected_until and not replica.requests
             if not due or self._trials >= max(1.0, MAX_TRIAL_SHARE * len(query.parts)):
@@ -82,7 +84,8 @@
     def substitute(self, part: Part) -> KnownReplica | None:
         """Another holder than those that the part is out at.
 
-        One that is preferred and untried comes first, then any preferred one, then any that may be sent to.
+        One that is preferred and untried comes first, then any preferred one, then any that may be sent to, and last
+        those that may drain: a part sent to one of them is turned away at best.
         """
         occupied = [attempt.replica for attempt in part.attempts]
         others = [
@@ -94,8 +97,9 @@
             return None
         return min(others, key=lambda replica: self._substitution_rank(replica, part))
 
-    def _substitution_rank(self, replica: KnownReplica, part: Part) -> tuple[bool, bool, float, bool]:
+    def _substitution_rank(self, replica: KnownReplica, part: Part) -> tuple[bool, bool, bool, float, bool]:
         return (
+            self._membership.watch.is_doubtful(replica),
             not self.is_preferred(replica, part.query),
             replica in part.tried_replicas,
             len(replica.requests) + relative_latency(replica, self._context.now),
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -32,7 +32,7 @@
 class MembershipUpdateKind(Enum):
     """How a membership event relates to the endpoint list held so far.
 
-    It changes some lines, replaces the list, replaces it by a cached one, or says that the watch failed.
+    It changes some lines, replaces the list, replaces it by a cached one, or says that a call failed.
     """
 
     DELTA = "delta"
@@ -139,6 +139,7 @@
     drain_grace: float = (
         inf  # seconds after the notice that a replica drains in which it may still be sent to
     )
+    parallel_watch_calls: int = 1  # calls to discovery that the host can have waiting at once
 
 
 class Replica(NamedTuple):
@@ -159,6 +160,15 @@
     replicas: tuple[Replica, ...]
 
 
+class WatchInterrupted(NamedTuple):
+    """A watch that has brought a list ended or fell silent: its last line came `silent_for` seconds ago.
+
+    One that fell silent may stay open. If it speaks again, `MembershipChanged` says so, with no lines if need be.
+    """
+
+    silent_for: float
+
+
 class QueryArrived(NamedTuple):
     """A query; `part_count` parts follow in the same batch."""
 
@@ -221,6 +231,7 @@
 
 Event = (
     MembershipChanged
+    | WatchInterrupted
     | QueryArrived
     | PartArrived
     | AttemptEnded
@@ -286,7 +297,11 @@
 
 
 class WatchMembership(NamedTuple):
-    """Watch the endpoint list: ask for membership changes from now on."""
+    """Watch the endpoint list: ask for membership changes from now on.
+
+    With `Settings.parallel_watch_calls` it may be asked for while earlier calls still wait for an answer: those wait
+    on, as far as there is room for them, and the first that is answered stays.
+    """
 
 
 class SendToPeers(NamedTuple):
--- a/gingervane/node/discovery_call.py
+++ b/gingervane/node/discovery_call.py
@@ -1,32 +1,59 @@
-"""What one call to discovery went through: its times and its end, for the log and the counters."""
+"""One call to discovery, which becomes a watch with its first list: its socket, its progress and its end.
+
+A call waits for its answer for as long as nobody interrupts it: whether a further one is made beside it, and which
+gives way, is not decided here. Each call has a thread of its own, in which all its handlers are called.
+"""
 
 from __future__ import annotations
 
+import contextlib
+import errno
+import os
+import select
+import socket
 import time
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
+from threading import Lock
+from typing import Protocol
 
 from gingervane.node.config import Address
+from gingervane.node.endpoint_list import EndpointListError
 from gingervane.telemetry.events import LogEvent
 from gingervane.telemetry.log_format import FieldValue
 from gingervane.telemetry.node_telemetry import Log
+from gingervane.wire import http1
+from gingervane.wire.http1 import ConnectionClosedError, HttpError, Limits, Reader, Response
+from gingervane.wire.json_values import JsonSplitter, ValueTooLongError
 
+SILENCE_TIMEOUT = (
+    2.5  # seconds: an empty line is due every 2 s, and one that is late by a quarter may not come
+)
+_MAX_VALUE_BYTES = 1 << 20  # a list of 1,024 replicas takes 400 to 600 bytes for each, indented
+_INTERRUPTION_POLL = 1.0  # seconds between two looks at whether a call that is connecting is still wanted
 NEVER = -1.0  # stands in the log for something that did not happen
 
 
 class CallEnd(Enum):
     """Why a call to discovery ended."""
 
-    SILENT = "fell silent"  # no line came in time: while connecting, before the head, or between two lines
-    UNREACHABLE = "unreachable"  # the connection was refused or has no way
+    UNREACHABLE = "unreachable"  # the connection was refused, never came up or has no way
     BROKEN = "broken"  # the connection was reset, or ended inside a message
     ENDED = "ended by discovery"
     STATUS = "status"  # answered with a status other than 200
     MALFORMED = "malformed"  # what came is no HTTP, or no list where one is due
-    MOVED = "moved"  # the configuration names another address now, or the node stops
+    ANSWERED_ELSEWHERE = "another call was answered"
+    GAVE_WAY = "gave way to a newer call"
+    MOVED = "moved"  # the configuration names another address now
+    STOPPED = "stopped"  # the node ends
     INTERNAL = "internal error"
 
 
+class StatusError(EndpointListError):
+    """Discovery has answered a call with a status other than 200."""
+
+
 @dataclass
 class CallProgress:
     """One call as far as it has come. Times are monotonic seconds, 0 for what has not happened.
@@ -36,7 +63,7 @@
 
     number: int
     address: Address
-    since: int
+    since: int = 0
     started_at: float = field(default_factory=time.monotonic)
     connected_at: float = 0.0
     first_byte_at: float = 0.0
@@ -94,3 +121,137 @@
 
 def _text(address: Address) -> str:
     return f"{address[0]}:{address[1]}"
+
+
+class CallHandlers(Protocol):
+    """What a call tells, in its own thread."""
+
+    def line_received(self, call: DiscoveryCall) -> None:
+        """Take note of a line, whatever is in it."""
+
+    def value_received(self, call: DiscoveryCall, value: bytes, is_json: bool) -> None:
+        """Take a value, which is a list if it makes sense."""
+
+    def watch_fell_silent(self, call: DiscoveryCall, seconds: float) -> None:
+        """Take note that a watch has brought no line for so long. It stays open."""
+
+
+class DiscoveryCall:
+    """One call. Its thread runs `follow`; `interrupt` may be called from any other."""
+
+    def __init__(self, progress: CallProgress, handlers: CallHandlers) -> None:
+        self.progress = progress
+        self.interrupted: CallEnd | None = None  # why it is to end
+        self.has_list = False  # a list has come on it, so that it is a watch; of its own thread
+        self.is_silent = False  # a watch on which no line came in time
+        self._handlers = handlers
+        self._lock = Lock()
+        self._sock: socket.socket | None = None
+        self._line_at = inf  # when the last line came on the watch
+
+    def interrupt(self, reason: CallEnd) -> None:
+        """Have the call end as soon as can be."""
+        with self._lock:
+            self.interrupted = self.interrupted or reason
+            if self._sock:
+                with contextlib.suppress(OSError):
+                    self._sock.shutdown(socket.SHUT_RDWR)
+
+    def run(self) -> tuple[CallEnd, str]:
+        """Follow it to its end; return why it ended, and further text for people."""
+        reason, detail = CallEnd.ENDED, ""
+        try:
+            self._follow()
+        except (OSError, HttpError, ConnectionClosedError, EndpointListError, ValueTooLongError) as error:
+            reason, detail = _call_end_of(error, self.progress), str(error) or type(error).__name__
+        except Exception as error:  # noqa: BLE001 - a bug must not end a thread that hears of changes
+            reason, detail = CallEnd.INTERNAL, f"internal: {type(error).__name__}: {error}"
+        return self.interrupted or reason, detail
+
+    def _follow(self) -> None:
+        """Send the request and read what comes, to the end, which is an error unless it was interrupted."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        address = self.progress.address
+        try:
+            sock.setblocking(False)
+            code = sock.connect_ex(address)
+            # Known once it connects, which is not waited for before: an interruption that comes now can shut it.
+            with self._lock:
+                if self.interrupted:
+                    return
+                self._sock = sock
+            self._await_connection(sock, code)
+            self.progress.connected_at = time.monotonic()
+            sock.settimeout(None)
+            target = f"/v1/endpoints?follow=1&since={self.progress.since}"
+            sock.sendall(
+                http1.encode_head(f"GET {target} HTTP/1.1", [("Host", f"{address[0]}:{address[1]}")])
+            )
+            reader = Reader(lambda most: self._receive(sock, most), Limits(body=_MAX_VALUE_BYTES))
+            reply = reader.response()
+            if reply.status != 200:
+                raise StatusError(f"discovery: answered {reply.status} to a watch")
+            self._read_events(reader, reply)
+            raise ConnectionClosedError(clean=True)
+        finally:
+            with self._lock:
+                self._sock = None
+            sock.close()
+
+    def _await_connection(self, sock: socket.socket, code: int) -> None:
+        """Wait for a connection as long as the kernel tries. `code`: what starting it returned."""
+        if code in (errno.EINPROGRESS, errno.EINTR):
+            poll = select.poll()
+            poll.register(sock, select.POLLOUT)
+            while not poll.poll(_INTERRUPTION_POLL * 1000):
+                if self.interrupted:
+                    raise ConnectionClosedError(clean=False)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, os.strerror(code))
+
+    def _receive(self, sock: socket.socket, most: int) -> bytes:
+        """Return the next bytes; say so if no line has come for too long meanwhile."""
+        while True:
+            sock.settimeout(self._seconds_to_silence())
+            try:
+                data = sock.recv(most)
+            except TimeoutError as error:
+                if error.errno:  # of the kernel: the connection is dead
+                    raise
+                self.is_silent = True
+                self._handlers.watch_fell_silent(self, time.monotonic() - self._line_at)
+            else:
+                self.progress.record_bytes(len(data))
+                return data
+
+    def _seconds_to_silence(self) -> float | None:
+        """Seconds that the watch may go on without a line; None for a call that waits, or is known to be silent."""
+        if not self.has_list or self.is_silent:
+            return None
+        return max(self._line_at + SILENCE_TIMEOUT - time.monotonic(), 0.001)
+
+    def _read_events(self, reader: Reader, reply: Response) -> None:
+        """Read watch events to the end of the body. Lists may come indented."""
+        values = JsonSplitter(_MAX_VALUE_BYTES)
+        for data in reader.iter_body(reply.headers):
+            if b"\n" in data:
+                self._line_at = time.monotonic()
+                self.progress.lines += 1
+                self._handlers.line_received(self)
+            for value, is_json in values.feed(data):
+                self._handlers.value_received(self, value, is_json)
+
+
+def _call_end_of(error: Exception, progress: CallProgress) -> CallEnd:
+    """Return the reason for the log that belongs to the error with which a call ended."""
+    match error:
+        case StatusError():
+            return CallEnd.STATUS
+        case ConnectionClosedError(clean=True):
+            return CallEnd.ENDED
+        case OSError() if not progress.connected_at:
+            return CallEnd.UNREACHABLE
+        case OSError() | ConnectionClosedError():
+            return CallEnd.BROKEN
+    return CallEnd.MALFORMED
--- a/gingervane/node/endpoint_list.py
+++ b/gingervane/node/endpoint_list.py
@@ -66,16 +66,17 @@
         """Return the name of a replica for logs; its ID if it is long gone. Any thread."""
         return self._hosts.get(replica, str(replica))
 
-    def read(self, data: Any, cached: bool = False, first_of_watch: bool = False) -> EndpointsUpdated | None:
+    def read(self, data: Any, cached: bool = False, since: int | None = None) -> EndpointsUpdated | None:
         """Read a list or its changes; None for one that is older than the newest. Raises EndpointListError.
 
-        `first_of_watch`: the first that a watch brings. A complete list may be older there, where discovery counts
-        anew; after a newer change it would bring back replicas that drain. One that brings nothing new is an empty
-        update all the same, which shows that the request has succeeded.
+        `since`: of the first that a call brings, the version that the call asked from. A complete list of an older
+        version than that shows that discovery counts anew; else it is an answer that another call has overtaken,
+        and would bring back replicas that drain. A first one that brings nothing new is an empty update all the
+        same, which shows that the call has succeeded.
         """
         endpoints = _parse_list(data)
-        if self._is_outdated(endpoints, first_of_watch):
-            return _update(api.MembershipUpdateKind.DELTA, {}) if first_of_watch else None
+        if self._is_outdated(endpoints, since):
+            return None if since is None else _update(api.MembershipUpdateKind.DELTA, {})
         self.version = endpoints.version
         listed = self._with_monotonic_starts(self._parse_entries(endpoints), cached)
         self._log_list(endpoints, listed, cached)
@@ -85,9 +86,10 @@
             kind = api.MembershipUpdateKind.FULL if endpoints.complete else api.MembershipUpdateKind.DELTA
         return _update(kind, listed)
 
-    def _is_outdated(self, endpoints: _EndpointList, first_of_watch: bool) -> bool:
+    def _is_outdated(self, endpoints: _EndpointList, since: int | None) -> bool:
         if endpoints.version < self.version:
-            return not (endpoints.complete and first_of_watch)
+            counts_anew = since is not None and endpoints.version < since
+            return not (endpoints.complete and counts_anew)
         return endpoints.version == self.version and not endpoints.complete
 
     def _parse_entries(self, endpoints: _EndpointList) -> dict[int, ListedReplica]:
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -11,7 +11,6 @@
 import sys
 import threading
 import time
-from math import inf
 from pathlib import Path
 
 from gingervane.coordinator import types as t
@@ -45,6 +44,8 @@
 SHUTDOWN_RESERVE = 0.3  # seconds before SIGKILL may come, by when all that is still open has been answered
 REPLY_WRITE_TIMEOUT = 0.25  # seconds of them, to write the replies and to have them read
 
+# Calls to discovery that may wait for an answer at once: one that hangs, one in a slow queue, and one that is new.
+PARALLEL_WATCH_CALLS = 3
 _MAX_RESULT_BYTES = 64 << 20  # of all open queries
 _MAX_HEAD_BYTES = 16384  # of a client's request
 _MAX_BODY_BYTES = 65536  # of a client's request
@@ -83,7 +84,7 @@
 
     def _make_core(self, reader: EndpointListReader, budget: DescriptorBudget) -> QueryCoordinator:
         config = self._config
-        settings = config.settings
+        settings = config.settings._replace(parallel_watch_calls=PARALLEL_WATCH_CALLS)
         limits = ReplicaConnectionLimits(
             config.streams_per_connection,
             budget.replica_connections,
@@ -103,12 +104,8 @@
         )
 
     def _make_watch(self, reader: EndpointListReader) -> DiscoveryWatch:
-        settings = self._config.settings
-        # Where lists are pushed, all counts as told as soon as discovery is back: a call that hangs since before
-        # must not outlast the grace.
-        answered_within = inf if settings.membership_polled else settings.drain_grace or inf
         return DiscoveryWatch(
-            self._config.discovery, reader, self.core.endpoints_updated, self.telemetry.info, answered_within
+            self._config.discovery, reader, self.core, self.telemetry.info, PARALLEL_WATCH_CALLS
         )
 
     def _make_peer_socket(self) -> PeerSocket | None:
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import IO, Any, NamedTuple
 
+from gingervane.coordinator.types import EndpointsUpdated
 from gingervane.fronts.connections import ConnectionManager
 from gingervane.node import config as configuration
 from gingervane.node.service import Node
@@ -75,6 +76,16 @@
     )
 
 
+class MembershipRecorder(Waiter):
+    """What a watch tells: items are updates, and seconds of silence where the watch was interrupted."""
+
+    def endpoints_updated(self, update: EndpointsUpdated) -> None:
+        self.put(update)
+
+    def watch_interrupted(self, silent_for: float) -> None:
+        self.put(silent_for)
+
+
 class Recorded(Waiter):
     """A log that keeps its events: items are (event, fields)."""
 
--- a/tests/recordings/codec.py
+++ b/tests/recordings/codec.py
@@ -50,6 +50,7 @@
     api.LogMessage,
     api.ReplicaEjected,
     api.ReplicaReinstated,
+    api.WatchInterrupted,
 )
 ENUMERATIONS: tuple[type[Enum], ...] = (
     api.RetrySafety,
