--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -65,7 +65,7 @@
         self._context = context
         self._polled = settings.membership_polled
         self._calls_may_overlap = settings.parallel_watch_calls > 1
-        self._pushed_grace = max(settings.drain_grace, settings.timer_granularity)
+        self._pushed_grace = min(max(settings.drain_grace, settings.timer_granularity), NOTIFIED_WITHIN)
         self._min_backoff = max(MIN_URGENT_BACKOFF, settings.coordinator_count / MAX_FLEET_CALL_RATE)
         self._backoff = INITIAL_BACKOFF
         self._phase = WatchPhase.PENDING
