--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -30,6 +30,9 @@
 BACKOFF_GROWTH = 1.5
 # Longest backoff, seconds.
 MAX_BACKOFF = 4 / 3
+# After a second failure in a row discovery is crowded: the backoff is at least so many seconds for each co-ordinator,
+# as long as there is time, so that those with none left find a place in its queue.
+CROWDED_BACKOFF_PER_COORDINATOR = 0.02
 # Random spread of the backoff as factors, so that co-ordinators do not ask in step.
 MIN_JITTER = 0.5
 MAX_JITTER = 1.5
@@ -38,7 +41,7 @@
 # Shortest backoff for want of time, seconds.
 MIN_URGENT_BACKOFF = 0.05
 # Calls a second that all co-ordinators together make at most, if none of them has any time left.
-MAX_FLEET_CALL_RATE = 1000.0
+MAX_FLEET_CALL_RATE = 400.0
 # A call that has not been answered gets another beside it after the time that is left over this ...
 WAITS_IN_TIME_LEFT = 3
 # ... but not sooner than this many seconds, as a place in discovery's queue is worth waiting for.
@@ -48,6 +51,9 @@
 PUSHED_BACKOFFS_PER_GRACE = 4
 # ... and a call waits for the grace over this before there is another beside it.
 PUSHED_WAITS_PER_GRACE = 2
+# Seconds after a part was turned away for which a replica whose lease has run out is not sent to at all. Then it is
+# tried again: it may have been full, and discovery may be away for long.
+BAR_DURATION = 12.0
 
 
 class WatchPhase(Enum):
@@ -67,6 +73,7 @@
         self._calls_may_overlap = settings.parallel_watch_calls > 1
         self._pushed_grace = min(max(settings.drain_grace, settings.timer_granularity), NOTIFIED_WITHIN)
         self._min_backoff = max(MIN_URGENT_BACKOFF, settings.coordinator_count / MAX_FLEET_CALL_RATE)
+        self._crowded_backoff = min(CROWDED_BACKOFF_PER_COORDINATOR * settings.coordinator_count, MAX_BACKOFF)
         self._backoff = INITIAL_BACKOFF
         self._phase = WatchPhase.PENDING
         self._known_at = -inf  # while it is not up: when all was known that discovery had then
@@ -101,13 +108,23 @@
         jitter = self._context.random.uniform(MIN_JITTER, MAX_JITTER)
         self._context.set_timer(min(self._backoff, self._max_backoff()) * jitter, self.ask)
         self._backoff = min(BACKOFF_GROWTH * self._backoff, MAX_BACKOFF)
+        if self._polled:
+            self._backoff = max(self._backoff, self._crowded_backoff)
 
     def is_doubtful(self, replica: KnownReplica) -> bool:
         """Whether a replica may have begun to drain, or have gone, without this being known in time."""
         if self._phase is not WatchPhase.DOWN:
             return False
-        if replica.last_rejected_send_at > replica.last_served_send_at:
-            return True
+        return _only_turns_away(replica) or self._has_lease_expired(replica)
+
+    def is_barred(self, replica: KnownReplica) -> bool:
+        """Whether a replica is to be sent nothing: it very likely drains, and counts as notified by now."""
+        if self._phase is not WatchPhase.DOWN or not _only_turns_away(replica):
+            return False
+        is_recent = self._context.now < replica.last_rejected_send_at + BAR_DURATION
+        return is_recent and self._has_lease_expired(replica)
+
+    def _has_lease_expired(self, replica: KnownReplica) -> bool:
         known_at = max(self._known_since(), replica.last_served_send_at)
         return self._polled and self._context.now - known_at > NOTIFIED_WITHIN
 
@@ -133,3 +150,8 @@
         if not self._polled:
             return self._pushed_grace / PUSHED_WAITS_PER_GRACE
         return max(self._time_left() / WAITS_IN_TIME_LEFT, MIN_WAIT)
+
+
+def _only_turns_away(replica: KnownReplica) -> bool:
+    """Whether a replica has turned parts away and served none that was sent later: one that drains does so."""
+    return replica.last_rejected_send_at > replica.last_served_send_at
--- a/gingervane/decisions/slow_start.py
+++ b/gingervane/decisions/slow_start.py
@@ -58,12 +58,14 @@
         self.answered_per_replica += parts / max(self._membership.ready_count, 1)
 
     def may_send(self, replica: KnownReplica, conservative: bool = False) -> bool:
-        """Whether a replica is ready and, if cold, not near what would push it over.
+        """Whether a replica is ready, as far as is known, and, if cold, not near what would push it over.
 
         `conservative`: nor may it be sent more than its share of what a ready replica gets, nor anything if
         it is suspected of having restarted.
         """
         now = self._context.now
+        if self._membership.watch.is_barred(replica):
+            return False
         if conservative and now < replica.suspected_restart_at + self._duration:
             return False
         age = max(now - replica.slow_start_began_at, 0.0)
