--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -41,10 +41,11 @@
 class DecisionEngine:
     """One co-ordinator's decisions, from its own settings and its own events alone."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, parallel_watch_calls: int = 1) -> None:
+        """`parallel_watch_calls`: how many calls to discovery the host can have waiting at once."""
         self.settings = settings
         self.context = BatchContext(settings.timer_granularity, seed)
-        self.membership = Membership(settings, self.context)
+        self.membership = Membership(settings, self.context, parallel_watch_calls)
         self.slow_start = SlowStart(settings, self.context, self.membership)
         self.latency = LatencyEstimator(settings.query_classes)
         first_sends = SlidingWindowCount(TRAFFIC_WINDOW)
--- a/gingervane/decisions/membership.py
+++ b/gingervane/decisions/membership.py
@@ -13,9 +13,9 @@
 class Membership:
     """The replicas of the endpoint list and the holders of each shard."""
 
-    def __init__(self, settings: api.Settings, context: BatchContext) -> None:
+    def __init__(self, settings: api.Settings, context: BatchContext, parallel_watch_calls: int = 1) -> None:
         self._settings = settings
-        self.watch = MembershipWatch(settings, context)
+        self.watch = MembershipWatch(settings, context, parallel_watch_calls)
         self.replicas = dict[int, KnownReplica]()
         self.ready_count = 0
         # By cell: the replicas that hold its shards, in order of their ids.
--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -67,10 +67,11 @@
 class MembershipWatch:
     """The watch of the endpoint list, as far as it is decided upon."""
 
-    def __init__(self, settings: api.Settings, context: BatchContext) -> None:
+    def __init__(self, settings: api.Settings, context: BatchContext, parallel_calls: int) -> None:
+        """`parallel_calls`: how many calls to discovery the host can have waiting at once."""
         self._context = context
         self._polled = settings.membership_polled
-        self._calls_may_overlap = settings.parallel_watch_calls > 1
+        self._calls_may_overlap = parallel_calls > 1
         self._pushed_grace = min(max(settings.drain_grace, settings.timer_granularity), NOTIFIED_WITHIN)
         self._min_backoff = max(MIN_URGENT_BACKOFF, settings.coordinator_count / MAX_FLEET_CALL_RATE)
         self._crowded_backoff = min(CROWDED_BACKOFF_PER_COORDINATOR * settings.coordinator_count, MAX_BACKOFF)
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -139,7 +139,6 @@
     drain_grace: float = (
         inf  # seconds after the notice that a replica drains in which it may still be sent to
     )
-    parallel_watch_calls: int = 1  # calls to discovery that the host can have waiting at once
 
 
 class Replica(NamedTuple):
@@ -163,7 +162,7 @@
 class WatchInterrupted(NamedTuple):
     """A watch that has brought a list ended or fell silent: its last line came `silent_for` seconds ago.
 
-    One that fell silent may stay open. If it speaks again, `MembershipChanged` says so, with no lines if need be.
+    One that fell silent may stay open. If it speaks again, `MembershipChanged` says so, maybe with no lines.
     """
 
     silent_for: float
@@ -299,8 +298,8 @@
 class WatchMembership(NamedTuple):
     """Watch the endpoint list: ask for membership changes from now on.
 
-    With `Settings.parallel_watch_calls` it may be asked for while earlier calls still wait for an answer: those wait
-    on, as far as there is room for them, and the first that is answered stays.
+    Of a host that can have several calls waiting it may be asked for while earlier ones still wait: those
+    wait on, as far as there is room for them, and the first that is answered stays.
     """
 
 
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -84,7 +84,7 @@
 
     def _make_core(self, reader: EndpointListReader, budget: DescriptorBudget) -> QueryCoordinator:
         config = self._config
-        settings = config.settings._replace(parallel_watch_calls=PARALLEL_WATCH_CALLS)
+        settings = config.settings
         limits = ReplicaConnectionLimits(
             config.streams_per_connection,
             budget.replica_connections,
@@ -94,7 +94,7 @@
         # Room for every part of as many queries as there can be connections: descriptors bound it, not this.
         admission = AdmissionLimits(config.max_sockets * (1 + config.shards), _MAX_RESULT_BYTES)
         return QueryCoordinator(
-            DecisionEngine(settings, config.seed),
+            DecisionEngine(settings, config.seed, PARALLEL_WATCH_CALLS),
             settings,
             admission,
             QueryLog(self.telemetry, config.class_names, reader.host_name),
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -68,9 +68,11 @@
 class Host:
     """Drives one co-ordinator; time only moves when a test says so."""
 
-    def __init__(self, settings: api.Settings = BASE, replicas: int = 3, seed: int = 1) -> None:
+    def __init__(
+        self, settings: api.Settings = BASE, replicas: int = 3, seed: int = 1, parallel_watch_calls: int = 1
+    ) -> None:
         self.settings, self.now, self.stalled_at = settings, 1000.0, 0.0
-        self.module = DecisionEngine(settings, seed)
+        self.module = DecisionEngine(settings, seed, parallel_watch_calls)
         self.timers: list[tuple[float, int]] = []
         self.classes: dict[int, int] = {}
         self.expires: dict[int, float] = {}
--- a/tests/recordings/scenarios.py
+++ b/tests/recordings/scenarios.py
@@ -393,6 +393,18 @@
             failed_subscriptions=12,
         ),
     )
+    yield (
+        "interrupted-watch",
+        Scenario(
+            SETTINGS._replace(membership_polled=True, drain_grace=0.5),
+            (steady(1.0, 29.0),),
+            (listed(0.0, CACHED, *three),),
+            (Fault(FaultKind.FULL, 6.0, 28.0, replicas=frozenset({10})),),
+            others=((5.0, api.WatchInterrupted(2.5)), (20.0, api.WatchInterrupted(0.0))),
+            duration=30.0,
+            failed_subscriptions=24,
+        ),
+    )
     yield (
         "breakers",
         Scenario(
--- a/tests/test_decisions_membership.py
+++ b/tests/test_decisions_membership.py
@@ -119,7 +119,7 @@
 
 def test_a_call_that_hangs_gets_others_beside_it_before_its_time_is_over() -> None:
     """Two calls that hung, one after the other, took all of the 6 s."""
-    host = Host(BASE._replace(membership_polled=True, parallel_watch_calls=3))
+    host = Host(BASE._replace(membership_polled=True), parallel_watch_calls=3)
     host.members(MembershipUpdateKind.DELTA)
     host.feed(api.WatchInterrupted(2.5))
     times = asked_at(host, NOTIFIED_WITHIN - 2.5)
@@ -138,8 +138,8 @@
 
 @pytest.mark.parametrize("grace", [0.3, 1.5])
 def test_where_lists_are_pushed_a_call_that_hangs_gets_another_within_the_grace(grace: float) -> None:
-    settings = BASE._replace(membership_polled=False, drain_grace=grace, parallel_watch_calls=3)
-    host = Host(settings)
+    settings = BASE._replace(membership_polled=False, drain_grace=grace)
+    host = Host(settings, parallel_watch_calls=3)
     host.feed(api.WatchInterrupted(2.5))
     times = asked_at(host, 3 * grace)
     assert max(later - earlier for earlier, later in pairwise(times)) < 0.6 * grace
@@ -198,10 +198,8 @@
     host.wait(0.2)
     query = host.query(0)
     assert not host.sends[part_of(host, query)]
-    assert (
-        isinstance(host.ended[query], api.Reject)
-        and host.ended[query].reason is api.QueryEndReason.NO_REPLICA
-    )
+    ended = host.ended[query]
+    assert isinstance(ended, api.Reject) and ended.reason is api.QueryEndReason.NO_REPLICA
     host.wait(BAR_DURATION - NOTIFIED_WITHIN)
     host.feed()
     assert not watch.is_barred(known), "it may have been full"
