Calls to a crowded discovery are spread by the size of the fleet; refused calls keep it crowded

Trials with logs of all calls show that discovery gave 4 to 5 lists a second while all made up to 46 calls a second, and none at all from 80 a second on, until the end: calls that are refused cost its time as well. Change: from the second failure on a pause of at least 0.05 s for each co-ordinator, up to 2 s; with no time left 30 calls a second of all together; in a large fleet those with much time wait up to half of it. Calls still come closer as time runs out where the fleet is small.

--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -29,19 +29,24 @@
 # Growth of the backoff with each failure in a row.
 BACKOFF_GROWTH = 1.5
 # Longest backoff, seconds.
-MAX_BACKOFF = 4 / 3
-# After a second failure in a row discovery is crowded: the backoff is at least so many seconds for each co-ordinator,
-# as long as there is time, so that those with none left find a place in its queue.
-CROWDED_BACKOFF_PER_COORDINATOR = 0.02
+MAX_BACKOFF = 2.0
+# From the second failure in a row on discovery is crowded: the backoff is at least so many seconds for each
+# co-ordinator, up to the longest. Calls that are refused take its time too: a fleet that asks again faster than they
+# are worked off keeps it crowded for good.
+CROWDED_BACKOFF_PER_COORDINATOR = 0.05
 # Random spread of the backoff as factors, so that co-ordinators do not ask in step.
 MIN_JITTER = 0.5
 MAX_JITTER = 1.5
-# The backoff is at most the time that is left over this: with its spread, several calls still fit in.
+# The backoff is at most the time that is left over this: with its spread, several calls still fit in. ...
 BACKOFFS_IN_TIME_LEFT = 8
+# ... In a large fleet two do, as long as there is much time: so places in discovery's queue are left to those ...
+CROWDED_BACKOFFS_IN_TIME_LEFT = 2
+# ... that have little of it. Seconds for each co-ordinator up to which that lengthens the backoff.
+LARGE_FLEET_BACKOFF_PER_COORDINATOR = 0.07
 # Shortest backoff for want of time, seconds.
 MIN_URGENT_BACKOFF = 0.05
-# Calls a second that all co-ordinators together make at most, if none of them has any time left.
-MAX_FLEET_CALL_RATE = 400.0
+# Calls a second that all co-ordinators together make at most, in the mean, if none of them has any time left.
+MAX_FLEET_CALL_RATE = 30.0
 # A call that has not been answered gets another beside it after the time that is left over this ...
 WAITS_IN_TIME_LEFT = 3
 # ... but not sooner than this many seconds, as a place in discovery's queue is worth waiting for.
@@ -73,8 +78,10 @@
         self._polled = settings.membership_polled
         self._calls_may_overlap = parallel_calls > 1
         self._pushed_grace = min(max(settings.drain_grace, settings.timer_granularity), NOTIFIED_WITHIN)
-        self._min_backoff = max(MIN_URGENT_BACKOFF, settings.coordinator_count / MAX_FLEET_CALL_RATE)
-        self._crowded_backoff = min(CROWDED_BACKOFF_PER_COORDINATOR * settings.coordinator_count, MAX_BACKOFF)
+        coordinators = settings.coordinator_count
+        self._min_backoff = min(max(MIN_URGENT_BACKOFF, coordinators / MAX_FLEET_CALL_RATE), MAX_BACKOFF)
+        self._fleet_backoff = LARGE_FLEET_BACKOFF_PER_COORDINATOR * coordinators
+        self._crowded_backoff = min(CROWDED_BACKOFF_PER_COORDINATOR * coordinators, MAX_BACKOFF)
         self._backoff = INITIAL_BACKOFF
         self._phase = WatchPhase.PENDING
         self._known_at = -inf  # while it is not up: when all was known that discovery had then
@@ -145,7 +152,9 @@
     def _max_backoff(self) -> float:
         if not self._polled:
             return self._pushed_grace / PUSHED_BACKOFFS_PER_GRACE
-        return max(self._time_left() / BACKOFFS_IN_TIME_LEFT, self._min_backoff)
+        left = self._time_left()
+        in_crowd = min(left / CROWDED_BACKOFFS_IN_TIME_LEFT, self._fleet_backoff)
+        return max(left / BACKOFFS_IN_TIME_LEFT, in_crowd, self._min_backoff)
 
     def _longest_wait(self) -> float:
         if not self._polled:
--- a/tests/faults/clients.py
+++ b/tests/faults/clients.py
@@ -57,6 +57,7 @@
             f"POST /{kind.name} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {name}\r\n"
             f"X-Timeout-Ms: {int(timeout * 1000)}\r\nContent-Length: {len(body)}\r\n\r\n"
         )
+        request.reused = self._sock is not None
         try:
             if self._sock is None:
                 self._sock = socket.create_connection(self._node.address, 2.0)
--- /dev/null
+++ b/tests/faults/soak_plans.py
@@ -0,0 +1,117 @@
+"""Plans of the soak: long runs in which discovery fails, replicas are replaced, and nodes end in series."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from faults.discovery_faults import DiscoveryFaults, Outage
+from faults.node_process import SOCKETS
+from faults.plans import Crowd, Plan, Restart, draw
+
+QUIET = 3.0  # seconds at the start, and after which the last node may begin to end
+LONGEST_OUTAGE = 7.0  # seconds
+MOST_SERVICE_TIME = 0.3  # seconds for one call to discovery
+SLOWEST_ANSWER = 1.0  # seconds beside the queue
+
+
+def draw_soak(seed: int, seconds: float) -> Plan:
+    """The plan of a seed, for runs in which the 6 s of a change can pass several times."""
+    chance = random.Random(f"soak/{seed}")
+    plan = draw(seed, QUIET)  # classes, replicas and links; the rest is drawn anew
+    seconds_to_kill = plan.seconds_to_kill
+    return replace(
+        plan,
+        seconds=seconds,
+        may_poll=True,
+        rate=min(plan.rate, 100.0),
+        stops=_stops(chance, plan.nodes, seconds),
+        changes=_changes(chance, plan.replicas, seconds),
+        terminate=(),
+        kill=(),
+        restarts=_restarts(chance, plan.nodes, seconds, seconds_to_kill),
+        crowds=_crowds(chance, plan.nodes, seconds),
+        moves=_moves(chance, plan.nodes, seconds),
+        discovery=_discovery(chance, seconds),
+    )
+
+
+def _stops(chance: random.Random, nodes: int, seconds: float) -> tuple[tuple[float, int, float], ...]:
+    count = chance.choice((0, 4, 12))
+    return tuple(
+        sorted(
+            (chance.uniform(0.5, seconds), chance.randrange(nodes), chance.choice((0.02, 0.06, 0.12)))
+            for _ in range(count)
+        )
+    )
+
+
+def _changes(chance: random.Random, replicas: int, seconds: float) -> tuple[tuple[float, int, str], ...]:
+    """Replicas drain, go and come back, again and again; two at least stay."""
+    found: list[tuple[float, int, str]] = []
+    for replica in range(replicas - 2):
+        at = chance.uniform(0.3, seconds / 2)
+        while at < seconds:
+            found.append((at, replica, "DRAINING"))
+            at += chance.uniform(1.0, 9.0)
+            if chance.random() < 0.5:
+                found.append((at, replica, "DELETED"))
+                at += chance.uniform(1.0, 6.0)
+            found.append((at, replica, "SERVING"))
+            at += chance.uniform(2.0, 8.0)
+    return tuple(sorted(found))
+
+
+def _restarts(
+    chance: random.Random, nodes: int, seconds: float, seconds_to_kill: float
+) -> tuple[Restart, ...]:
+    """Signals in series: one node after another, or all at once, each ready again before it is its turn again."""
+    found: list[Restart] = []
+    at = chance.uniform(1.0, QUIET)
+    pace = chance.choice((0.0, 0.4, seconds_to_kill + 1.0))
+    while at < seconds - seconds_to_kill - QUIET and len(found) < 3 * nodes:
+        for node in range(nodes):
+            graceful = chance.random() < 0.7
+            found.append(Restart(at + node * pace, node, graceful, chance.uniform(0.0, 0.5)))
+        at += nodes * pace + seconds_to_kill + chance.uniform(3.0, 9.0)
+    return tuple(found)
+
+
+def _crowds(chance: random.Random, nodes: int, seconds: float) -> tuple[Crowd, ...]:
+    if chance.random() < 0.6:
+        return ()
+    return tuple(
+        Crowd(chance.uniform(0.5, seconds / 2), node, SOCKETS, chance.uniform(2.0, seconds / 2))
+        for node in range(nodes)
+    )
+
+
+def _moves(chance: random.Random, nodes: int, seconds: float) -> tuple[tuple[float, int], ...]:
+    if chance.random() < 0.5:
+        return ()
+    return tuple((chance.uniform(1.0, seconds), chance.randrange(nodes)) for _ in range(chance.randint(1, 3)))
+
+
+def _discovery(chance: random.Random, seconds: float) -> DiscoveryFaults:
+    level = chance.choice((0.0, 0.1, 0.25))
+    outages = tuple(
+        Outage(chance.uniform(1.0, seconds), chance.uniform(0.5, LONGEST_OUTAGE))
+        for _ in range(chance.choice((0, 0, 1, 2)))
+    )
+    breaks = tuple(chance.uniform(0.3, seconds) for _ in range(chance.choice((0, 1, 4))))
+    return DiscoveryFaults(
+        service_time=chance.choice((0.0, 0.05, MOST_SERVICE_TIME)),
+        queue_length=chance.choice((1, 3, 1000)),
+        hung=level,
+        refused=chance.choice((0.0, 0.3, 0.7)),
+        cut=level / 2,
+        slow=level,
+        longest_delay=SLOWEST_ANSWER,
+        silent=level,
+        ended=level,
+        pieces=chance.choice((0.0, 0.5)),
+        indented=chance.choice((0.0, 0.5)),
+        whole=chance.choice((0.0, 0.5)),
+        breaks=breaks,
+        outages=outages,
+    )
