--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -5,8 +5,9 @@
 calls come closer as it runs out, and co-ordinators whose knowledge is fresh leave the places in discovery's queue to
 those whose knowledge is old.
 
-While no watch is up, a replica holds a lease: what it has served proves that it did not drain when that was sent. One
-whose lease has run out, or that has only turned parts away since, is doubtful: others go first.
+While no watch is up, a replica holds a lease: what it has served proves that it did not drain when that was sent.
+One that has only turned parts away since is doubtful: others go first. One whose lease has run out is sent nothing
+for a while.
 """
 
 from __future__ import annotations
@@ -56,8 +57,8 @@
 PUSHED_BACKOFFS_PER_GRACE = 4
 # ... and a call waits for the grace over this before there is another beside it.
 PUSHED_WAITS_PER_GRACE = 2
-# Seconds after a part was turned away for which a replica whose lease has run out is not sent to at all. Then it is
-# tried again: it may have been full, and discovery may be away for long.
+# Seconds after its lease ran out, or it last turned a part away, for which a replica is not sent to at all. Then it
+# is tried again, if there is no other: it may serve all the same, and discovery may be away for long.
 BAR_DURATION = 12.0
 
 
@@ -126,15 +127,18 @@
         return _only_turns_away(replica) or self._has_lease_expired(replica)
 
     def is_barred(self, replica: KnownReplica) -> bool:
-        """Whether a replica is to be sent nothing: it very likely drains, and counts as notified by now."""
-        if self._phase is not WatchPhase.DOWN or not _only_turns_away(replica):
+        """Whether a replica is to be sent nothing: what it may have begun counts as notified by now."""
+        if self._phase is not WatchPhase.DOWN or not self._has_lease_expired(replica):
             return False
-        is_recent = self._context.now < replica.last_rejected_send_at + BAR_DURATION
-        return is_recent and self._has_lease_expired(replica)
+        since = max(self._lease_end(replica), replica.last_rejected_send_at)
+        return self._context.now < since + BAR_DURATION
 
     def _has_lease_expired(self, replica: KnownReplica) -> bool:
-        known_at = max(self._known_since(), replica.last_served_send_at)
-        return self._polled and self._context.now - known_at > NOTIFIED_WITHIN
+        return self._polled and self._context.now > self._lease_end(replica)
+
+    def _lease_end(self, replica: KnownReplica) -> float:
+        """Until when no change that is not known can count as notified."""
+        return max(self._known_since(), replica.last_served_send_at) + NOTIFIED_WITHIN
 
     def _hedge(self, call: int) -> None:
         """Ask once more if the last call asked for is still without an answer."""
