--- a/tests/test_incident_late_drains.py
+++ b/tests/test_incident_late_drains.py
@@ -3,18 +3,18 @@
 What users saw: in a release with many restarts, requests reached draining replicas up to 0.7 s after the
 co-ordinators counted as told, where 0.5 s are allowed.
 
-The order of events: all watches ended at once and all co-ordinators called discovery again. It handles calls
-one after another, had room for a few and refused all others within 5 ms. A replica began to drain. One
-co-ordinator was refused ten times in five seconds, and meanwhile others, whose lists were a second old, got
-their second list. 6 s after the drain it counted as told, and it went on sending.
+The order of events: all watches ended at once and all co-ordinators called discovery again. It handles
+calls one after another, had room for a few and refused all others within 5 ms. A replica began to drain.
+One co-ordinator was refused ten times in five seconds, and meanwhile others, whose lists were a second old,
+got their second list. 6 s after the drain it counted as told, and it went on sending.
 
 The cause: the pause between two calls grew with each refusal, to up to 2 s, whatever time was left and
-however many asked. So who knew least asked least often, all calls together kept discovery busy with refusing,
-and a list of any age was served on as if it were new.
+however many asked. So who knew least asked least often, all calls together kept discovery busy with
+refusing, and a list of any age was served on as if it were new.
 
-The evidence: each call in the log of that process, with its start, its end and its reason: pauses of 0.07, 0.08,
-0.11, 0.39, 0.27, 0.52, 1.02, 1.38 and 1.23 s, each call refused; no list, no pause of the process, no step of its
-clock.
+The evidence: each call in the log of that process, with its start, its end and its reason: pauses of 0.07,
+0.08, 0.11, 0.39, 0.27, 0.52, 1.02, 1.38 and 1.23 s, each call refused; no list, no pause of the process, no
+step of its clock.
 """
 
 from __future__ import annotations
