What has shown nothing is barred only where traffic is dense enough that it should have

Change: a replica without a lease that has turned nothing away is barred once the others have served three parts each in the mean while the watch is down. Those that turn parts away are barred as before; all others without a lease still go last.

--- a/gingervane/decisions/membership.py
+++ b/gingervane/decisions/membership.py
@@ -41,6 +41,7 @@
         self._index_holders()
         self._forget_gone_replicas()
         self.ready_count = sum(known.ready for known in self.replicas.values())
+        self.watch.ready_replicas = self.ready_count
 
     def _update_replica(self, endpoint: api.Replica) -> None:
         """Take one line of the list; a replica that has restarted is no outlier, but in slow start."""
--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -6,8 +6,8 @@
 those whose knowledge is old.
 
 While no watch is up, a replica holds a lease: what it has served proves that it did not drain when that was sent.
-One that has only turned parts away since is doubtful: others go first. One whose lease has run out is sent nothing
-for a while.
+One that has only turned parts away since, or whose lease has run out, is doubtful: others go first. With both, or
+where it should have served something meanwhile, it is sent nothing for a while.
 """
 
 from __future__ import annotations
@@ -60,6 +60,9 @@
 # Seconds after its lease ran out, or it last turned a part away, for which a replica is not sent to at all. Then it
 # is tried again, if there is no other: it may serve all the same, and discovery may be away for long.
 BAR_DURATION = 12.0
+# Parts that a ready replica has served in the mean while the watch is down, from which on one that has shown nothing
+# is barred: where traffic is thinner, that it was not asked says nothing, and to bar it would cost whole shards.
+EXPECTED_PARTS_SERVED = 3.0
 
 
 class WatchPhase(Enum):
@@ -86,6 +89,8 @@
         self._backoff = INITIAL_BACKOFF
         self._phase = WatchPhase.PENDING
         self._known_at = -inf  # while it is not up: when all was known that discovery had then
+        self._served_parts = 0  # by all replicas, while it is not up
+        self.ready_replicas = 0  # in the endpoint list
         self._calls = 0  # that have been asked for
         self._retry_pending = False
 
@@ -101,6 +106,7 @@
         """Note that a list has come, or a change, or word that there is none."""
         self._backoff = INITIAL_BACKOFF
         self._phase = WatchPhase.UP
+        self._served_parts = 0
 
     def on_interruption(self, event: api.WatchInterrupted) -> None:
         """Take word that the watch has ended or fallen silent."""
@@ -120,6 +126,10 @@
         if self._polled:
             self._backoff = max(self._backoff, self._crowded_backoff)
 
+    def record_served(self) -> None:
+        """Count a part that a replica has served."""
+        self._served_parts += 1
+
     def is_doubtful(self, replica: KnownReplica) -> bool:
         """Whether a replica may have begun to drain, or have gone, without this being known in time."""
         if self._phase is not WatchPhase.DOWN:
@@ -130,9 +140,15 @@
         """Whether a replica is to be sent nothing: what it may have begun counts as notified by now."""
         if self._phase is not WatchPhase.DOWN or not self._has_lease_expired(replica):
             return False
+        if not _only_turns_away(replica) and not self._should_have_served():
+            return False
         since = max(self._lease_end(replica), replica.last_rejected_send_at)
         return self._context.now < since + BAR_DURATION
 
+    def _should_have_served(self) -> bool:
+        """Whether traffic is dense enough that each replica in service would have served something by now."""
+        return self._served_parts >= EXPECTED_PARTS_SERVED * max(self.ready_replicas, 1)
+
     def _has_lease_expired(self, replica: KnownReplica) -> bool:
         return self._polled and self._context.now > self._lease_end(replica)
 
--- a/tests/test_decisions_membership.py
+++ b/tests/test_decisions_membership.py
@@ -220,6 +220,21 @@
     assert not watch.is_barred(known), "it may have been full"
 
 
+def test_what_has_shown_nothing_is_barred_only_where_it_should_have_served_by_then() -> None:
+    """Where traffic is thin, that a replica was not asked says nothing: whole shards were refused."""
+    for parts, barred in ((2, False), (9, True)):
+        host = Host(BASE._replace(membership_polled=True))
+        host.members(MembershipUpdateKind.DELTA)
+        host.feed(api.WatchInterrupted(0.0))
+        for _ in range(parts):
+            host.finish(part_of(host, host.query(0)))
+        host.wait(NOTIFIED_WITHIN + 0.1)
+        host.feed()
+        watch, replicas = host.module.membership.watch, host.module.membership.replicas
+        assert all(watch.is_doubtful(known) for known in replicas.values())
+        assert all(watch.is_barred(known) is barred for known in replicas.values())
+
+
 def test_where_all_holders_are_doubtful_parts_are_sent_all_the_same() -> None:
     """Discovery may be away for long; a replica that is sent nothing could never show that it serves."""
     host = Host(BASE._replace(membership_polled=True))
