--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,33 @@
+"""A short soak: seeded runs with failing discovery, nodes that end in series, crowds and moves; no rule is broken."""
+
+from __future__ import annotations
+
+import pytest
+from faults.rig import play
+from faults.soak_plans import draw_soak
+
+SECONDS = 12.0  # of a run: the 6 s of a change pass, and a node ends and starts again
+
+
+@pytest.mark.parametrize("seed", [5, 6, 7, 9])
+def test_no_rule_is_broken_by_a_seeded_soak(seed: int) -> None:
+    result = play(draw_soak(seed, SECONDS))
+    assert result.requests and result.statuses[200], result
+    assert not result.violations and not result.ended_early, (result.violations[:3], result.ended_early)
+
+
+def test_a_seed_gives_the_same_plan_again_and_all_kinds_of_fault_are_drawn() -> None:
+    assert draw_soak(3, SECONDS) == draw_soak(3, SECONDS) != draw_soak(4, SECONDS)
+    plans = [draw_soak(seed, 20.0) for seed in range(1, 51)]
+    for drawn in (
+        [plan.crowds for plan in plans],
+        [plan.moves for plan in plans],
+        [plan.discovery.outages for plan in plans],
+        [plan.discovery.breaks for plan in plans],
+        [plan.discovery.hung for plan in plans],
+        [plan.discovery.refused for plan in plans],
+        [any(restart.graceful for restart in plan.restarts) for plan in plans],
+        [any(not restart.graceful for restart in plan.restarts) for plan in plans],
+        [any(health == "DELETED" for _, _, health in plan.changes) for plan in plans],
+    ):
+        assert any(drawn), drawn
