Replicas are doubted only once their lease has run out, not as soon as they turn parts away

While a watch was down, replicas that were merely full went last at once. Change: the lease alone makes a replica doubtful; turning parts away matters only after it has run out.

--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -6,8 +6,8 @@
 those whose knowledge is old.
 
 While no watch is up, a replica holds a lease: what it has served proves that it did not drain when that was sent.
-One that has only turned parts away since, or whose lease has run out, is doubtful: others go first. With both, or
-where it should have served something meanwhile, it is sent nothing for a while.
+One whose lease has run out is doubtful: others go first. If it has only turned parts away since, or should have
+served something meanwhile, it is sent nothing for a while.
 """
 
 from __future__ import annotations
@@ -132,13 +132,11 @@
 
     def is_doubtful(self, replica: KnownReplica) -> bool:
         """Whether a replica may have begun to drain, or have gone, without this being known in time."""
-        if self._phase is not WatchPhase.DOWN:
-            return False
-        return _only_turns_away(replica) or self._has_lease_expired(replica)
+        return self._phase is WatchPhase.DOWN and self._has_lease_expired(replica)
 
     def is_barred(self, replica: KnownReplica) -> bool:
         """Whether a replica is to be sent nothing: what it may have begun counts as notified by now."""
-        if self._phase is not WatchPhase.DOWN or not self._has_lease_expired(replica):
+        if not self.is_doubtful(replica):
             return False
         if not _only_turns_away(replica) and not self._should_have_served():
             return False
