The 6 s of the platform are a term of the node; other hosts of the decisions have no leases

Change: `WatchTerms` says what a host can do and owes: calls side by side, and the seconds after which a change counts as notified. The node gives 3 and 6 s; by default one call and no limit, so that no lease runs out and pauses are not shortened.

--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -23,6 +23,7 @@
 from gingervane.decisions.idle_connections import IdleConnectionLimit
 from gingervane.decisions.latency import LatencyEstimator
 from gingervane.decisions.membership import Membership
+from gingervane.decisions.membership_watch import DEFAULT_WATCH_TERMS, WatchTerms
 from gingervane.decisions.outlier_ejection import FAILURE_WEIGHT, REJECTION_WEIGHT, OutlierDetector
 from gingervane.decisions.query_completion import TIMER_MARGIN, QueryCompletion
 from gingervane.decisions.query_state import Attempt, Part, Query
@@ -41,11 +42,12 @@
 class DecisionEngine:
     """One co-ordinator's decisions, from its own settings and its own events alone."""
 
-    def __init__(self, settings: api.Settings, seed: int, parallel_watch_calls: int = 1) -> None:
-        """`parallel_watch_calls`: how many calls to discovery the host can have waiting at once."""
+    def __init__(
+        self, settings: api.Settings, seed: int, watch_terms: WatchTerms = DEFAULT_WATCH_TERMS
+    ) -> None:
         self.settings = settings
         self.context = BatchContext(settings.timer_granularity, seed)
-        self.membership = Membership(settings, self.context, parallel_watch_calls)
+        self.membership = Membership(settings, self.context, watch_terms)
         self.slow_start = SlowStart(settings, self.context, self.membership)
         self.latency = LatencyEstimator(settings.query_classes)
         first_sends = SlidingWindowCount(TRAFFIC_WINDOW)
--- a/gingervane/decisions/membership.py
+++ b/gingervane/decisions/membership.py
@@ -6,16 +6,16 @@
 
 from gingervane import interface as api
 from gingervane.decisions.batch_context import BatchContext
-from gingervane.decisions.membership_watch import MembershipWatch
+from gingervane.decisions.membership_watch import MembershipWatch, WatchTerms
 from gingervane.decisions.replica_state import KnownReplica
 
 
 class Membership:
     """The replicas of the endpoint list and the holders of each shard."""
 
-    def __init__(self, settings: api.Settings, context: BatchContext, parallel_watch_calls: int = 1) -> None:
+    def __init__(self, settings: api.Settings, context: BatchContext, watch_terms: WatchTerms) -> None:
         self._settings = settings
-        self.watch = MembershipWatch(settings, context, parallel_watch_calls)
+        self.watch = MembershipWatch(settings, context, watch_terms)
         self.replicas = dict[int, KnownReplica]()
         self.ready_count = 0
         # By cell: the replicas that hold its shards, in order of their ids.
--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -1,9 +1,9 @@
 """How old the knowledge of the endpoint list is, and when discovery is asked for it again.
 
-A change counts as notified `NOTIFIED_WITHIN` after discovery had it, whether or not it arrived. So the pause between
-two calls, and the wait for an answer before a further call is made beside it, are measured by the time that is left:
-calls come closer as it runs out, and co-ordinators whose knowledge is fresh leave the places in discovery's queue to
-those whose knowledge is old.
+Where the host says so, a change counts as notified some seconds after discovery had it, arrived or not. So the pause
+between two calls, and the wait for an answer before a further call is made beside it, are measured by the time that
+is left: calls come closer as it runs out, and co-ordinators whose knowledge is fresh leave the places in discovery's
+queue to those whose knowledge is old.
 
 While no watch is up, a replica holds a lease: what it has served proves that it did not drain when that was sent.
 One whose lease has run out is doubtful: others go first. If it has only turned parts away since, or should have
@@ -15,13 +15,12 @@
 from enum import Enum
 from functools import partial
 from math import inf
+from typing import NamedTuple
 
 from gingervane import interface as api
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.replica_state import KnownReplica
 
-# Seconds after discovery had a change, and could be reached, by when it counts as notified: the platform's protocol.
-NOTIFIED_WITHIN = 6.0
 # Seconds that the list which a process finds at its start is taken to be old: nobody says how old it is.
 CACHED_LIST_AGE = 3.0
 # Seconds before a failed watch is asked for again at first. It is short and grows little: what an ended
@@ -48,6 +47,8 @@
 MIN_URGENT_BACKOFF = 0.05
 # Calls a second that all co-ordinators together make at most, in the mean, if none of them has any time left.
 MAX_FLEET_CALL_RATE = 30.0
+# Time left that counts for a wait at most, seconds.
+MAX_TIME_LEFT = 6.0
 # A call that has not been answered gets another beside it after the time that is left over this ...
 WAITS_IN_TIME_LEFT = 3
 # ... but not sooner than this many seconds, as a place in discovery's queue is worth waiting for.
@@ -57,6 +58,8 @@
 PUSHED_BACKOFFS_PER_GRACE = 4
 # ... and a call waits for the grace over this before there is another beside it.
 PUSHED_WAITS_PER_GRACE = 2
+# Longest drain grace that counts for that, seconds.
+MAX_PUSHED_GRACE = 6.0
 # Seconds after its lease ran out, or it last turned a part away, for which a replica is not sent to at all. Then it
 # is tried again, if there is no other: it may serve all the same, and discovery may be away for long.
 BAR_DURATION = 12.0
@@ -65,6 +68,20 @@
 EXPECTED_PARTS_SERVED = 3.0
 
 
+class WatchTerms(NamedTuple):
+    """What the host of the decisions can do, and what it owes, in the watch of the endpoint list.
+
+    `parallel_calls`: how many calls to discovery it can have waiting at once. `notified_within`: seconds after
+    discovery had a change, and could be reached, by when it counts as notified, arrived or not.
+    """
+
+    parallel_calls: int = 1
+    notified_within: float = inf
+
+
+DEFAULT_WATCH_TERMS = WatchTerms()
+
+
 class WatchPhase(Enum):
     """What has been heard of the watch."""
 
@@ -76,12 +93,12 @@
 class MembershipWatch:
     """The watch of the endpoint list, as far as it is decided upon."""
 
-    def __init__(self, settings: api.Settings, context: BatchContext, parallel_calls: int) -> None:
-        """`parallel_calls`: how many calls to discovery the host can have waiting at once."""
+    def __init__(self, settings: api.Settings, context: BatchContext, terms: WatchTerms) -> None:
         self._context = context
         self._polled = settings.membership_polled
-        self._calls_may_overlap = parallel_calls > 1
-        self._pushed_grace = min(max(settings.drain_grace, settings.timer_granularity), NOTIFIED_WITHIN)
+        self._calls_may_overlap = terms.parallel_calls > 1
+        self._notified_within = terms.notified_within
+        self._pushed_grace = min(max(settings.drain_grace, settings.timer_granularity), MAX_PUSHED_GRACE)
         coordinators = settings.coordinator_count
         self._min_backoff = min(max(MIN_URGENT_BACKOFF, coordinators / MAX_FLEET_CALL_RATE), MAX_BACKOFF)
         self._fleet_backoff = LARGE_FLEET_BACKOFF_PER_COORDINATOR * coordinators
@@ -152,7 +169,7 @@
 
     def _lease_end(self, replica: KnownReplica) -> float:
         """Until when no change that is not known can count as notified."""
-        return max(self._known_since(), replica.last_served_send_at) + NOTIFIED_WITHIN
+        return max(self._known_since(), replica.last_served_send_at) + self._notified_within
 
     def _hedge(self, call: int) -> None:
         """Ask once more if the last call asked for is still without an answer."""
@@ -165,7 +182,7 @@
 
     def _time_left(self) -> float:
         """Seconds until what is not known yet may count as notified."""
-        return self._known_since() + NOTIFIED_WITHIN - self._context.now
+        return self._known_since() + self._notified_within - self._context.now
 
     def _max_backoff(self) -> float:
         if not self._polled:
@@ -177,7 +194,8 @@
     def _longest_wait(self) -> float:
         if not self._polled:
             return self._pushed_grace / PUSHED_WAITS_PER_GRACE
-        return max(self._time_left() / WAITS_IN_TIME_LEFT, MIN_WAIT)
+        left = min(self._time_left(), MAX_TIME_LEFT)
+        return max(left / WAITS_IN_TIME_LEFT, MIN_WAIT)
 
 
 def _only_turns_away(replica: KnownReplica) -> bool:
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -19,6 +19,7 @@
 from gingervane.coordinator.ports import ClusterPorts
 from gingervane.coordinator.replica_start_times import ReplicaStartTimes
 from gingervane.decisions.engine import DecisionEngine
+from gingervane.decisions.membership_watch import WatchTerms
 from gingervane.fronts.http_server import HttpServer, ServerLimits
 from gingervane.node import config as configuration
 from gingervane.node.client_front import ClientFront
@@ -46,6 +47,8 @@
 
 # Calls to discovery that may wait for an answer at once: one that hangs, one in a slow queue, and one that is new.
 PARALLEL_WATCH_CALLS = 3
+# Seconds after discovery had a change, and could be reached, by when it counts as notified: the platform's protocol.
+NOTIFIED_WITHIN = 6.0
 _MAX_RESULT_BYTES = 64 << 20  # of all open queries
 _MAX_HEAD_BYTES = 16384  # of a client's request
 _MAX_BODY_BYTES = 65536  # of a client's request
@@ -94,7 +97,7 @@
         # Room for every part of as many queries as there can be connections: descriptors bound it, not this.
         admission = AdmissionLimits(config.max_sockets * (1 + config.shards), _MAX_RESULT_BYTES)
         return QueryCoordinator(
-            DecisionEngine(settings, config.seed, PARALLEL_WATCH_CALLS),
+            DecisionEngine(settings, config.seed, WatchTerms(PARALLEL_WATCH_CALLS, NOTIFIED_WITHIN)),
             settings,
             admission,
             QueryLog(self.telemetry, config.class_names, reader.host_name),
