Co-ordinators that have a list tell the others which replicas drain or are gone

Cause: discovery gave 44 co-ordinators four to five lists a second, and their watches ended every two seconds: no way of asking lets all hear of a change within 6 s. In play 3 co-ordinators that had been started again sent to a replica that had drained before, while others had lists. Change: `decisions/drain_reports.py`. Where peers may be told and the 6 s are owed, three co-ordinators in the mean tell each change, and again every 2 s; a report bars the replica for 6 s at who has no list, and is nothing to who has one. Messages hold up to 31 ids in 249 bytes; those of outlier ejection keep their form.

--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -19,6 +19,7 @@
 from gingervane.decisions.attempt_dispatch import AttemptDispatcher
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.completeness import QueryState
+from gingervane.decisions.drain_reports import DrainReports
 from gingervane.decisions.hedging import NO_RESPONSE_DELAYS, Hedging
 from gingervane.decisions.idle_connections import IdleConnectionLimit
 from gingervane.decisions.latency import LatencyEstimator
@@ -52,6 +53,7 @@
         self.latency = LatencyEstimator(settings.query_classes)
         first_sends = SlidingWindowCount(TRAFFIC_WINDOW)
         self._outlier_detector = OutlierDetector(settings, self.context, self.membership, first_sends)
+        self._drain_reports = DrainReports(settings, self.context, self.membership, watch_terms)
         self._idle_connections = IdleConnectionLimit(self.context)
         self._retry_budget = RetryBudget(settings, self.context)
         self._selector = ReplicaSelector(settings, self.context, self.membership, self.slow_start)
@@ -88,9 +90,9 @@
         """What takes each event. Health checks are not asked for."""
         return {
             api.AttemptEnded: self._on_attempt_ended,
-            api.MembershipChanged: self.membership.update,
+            api.MembershipChanged: self._drain_reports.on_membership,
             api.PartArrived: self._on_part_arrived,
-            api.PeerMessageReceived: self._outlier_detector.on_peer_message,
+            api.PeerMessageReceived: self._on_peer_message,
             api.QueryAbandoned: self._on_query_abandoned,
             api.QueryArrived: self._on_query_arrived,
             api.TimerFired: self.context.fire,
@@ -119,6 +121,10 @@
     def _start_hedge_timer(self, attempt: Attempt) -> None:
         self.hedging.start_timer(attempt)
 
+    def _on_peer_message(self, event: api.PeerMessageReceived) -> None:
+        if not self._drain_reports.take(event):
+            self._outlier_detector.on_peer_message(event)
+
     def _on_query_abandoned(self, event: api.QueryAbandoned) -> None:
         self.completion.abandon(event.id)
 
--- a/gingervane/decisions/membership.py
+++ b/gingervane/decisions/membership.py
@@ -18,6 +18,7 @@
         self.watch = MembershipWatch(settings, context, watch_terms)
         self.replicas = dict[int, KnownReplica]()
         self.ready_count = 0
+        self.unavailable = frozenset[int]()  # ids of those that drain or are gone, by the last event
         # By cell: the replicas that hold its shards, in order of their ids.
         self.holders_by_cell = defaultdict[int, list[KnownReplica]](list)
 
@@ -25,6 +26,10 @@
         """The replicas that hold a shard, in order of their ids."""
         return self.holders_by_cell[shard % self._settings.cell_count]
 
+    def ready_ids(self) -> frozenset[int]:
+        """Ids of the replicas in service."""
+        return frozenset(number for number, known in self.replicas.items() if known.ready)
+
     def update(self, event: api.MembershipChanged) -> None:
         """Take a membership event."""
         if event.kind is api.MembershipUpdateKind.FAILED:
@@ -39,6 +44,7 @@
         for endpoint in event.replicas:
             self._update_replica(endpoint)
         self._index_holders()
+        self.unavailable = frozenset(n for n, known in self.replicas.items() if not known.ready)
         self._forget_gone_replicas()
         self.ready_count = sum(known.ready for known in self.replicas.values())
         self.watch.ready_replicas = self.ready_count
--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -63,6 +63,8 @@
 # Seconds after its lease ran out, or it last turned a part away, for which a replica is not sent to at all. Then it
 # is tried again, if there is no other: it may serve all the same, and discovery may be away for long.
 BAR_DURATION = 12.0
+# Seconds for which a peer's report that a replica drains or is gone holds; it is told again every 2 s.
+REPORT_LIFETIME = 6.0
 # Parts that a ready replica has served in the mean while the watch is down, from which on one that has shown nothing
 # is barred: where traffic is thinner, that it was not asked says nothing, and to bar it would cost whole shards.
 EXPECTED_PARTS_SERVED = 3.0
@@ -143,6 +145,11 @@
         if self._polled:
             self._backoff = max(self._backoff, self._crowded_backoff)
 
+    @property
+    def is_up(self) -> bool:
+        """Whether a list has come on the watch since it last failed."""
+        return self._phase is WatchPhase.UP
+
     def record_served(self) -> None:
         """Count a part that a replica has served."""
         self._served_parts += 1
@@ -152,7 +159,9 @@
         return self._phase is WatchPhase.DOWN and self._has_lease_expired(replica)
 
     def is_barred(self, replica: KnownReplica) -> bool:
-        """Whether a replica is to be sent nothing: what it may have begun counts as notified by now."""
+        """Whether a replica is to be sent nothing: it drains, or what it may have begun counts as notified by now."""
+        if not self.is_up and self._context.now < replica.reported_draining_at + REPORT_LIFETIME:
+            return True
         if not self.is_doubtful(replica):
             return False
         if not _only_turns_away(replica) and not self._should_have_served():
--- a/gingervane/decisions/replica_state.py
+++ b/gingervane/decisions/replica_state.py
@@ -30,6 +30,7 @@
     last_answered_send_at: float = 0.0  # send time of the latest part that it has answered
     last_served_send_at: float = -inf  # the same, of those that it has served
     last_rejected_send_at: float = -inf  # the same, of those that it has turned away
+    reported_draining_at: float = -inf  # a peer whose watch is up last told that it drains or is gone
     unresponsive_until: float = 0.0  # has not responded, and nothing came since; 0: something came
     last_unresponsive_at: float = 0.0  # last did not respond or could not be reached, also by peers' reports
 
