Lists written to an ended process's watch are not told to the next; written lists count on ending calls

The node dropped lists that came on a call that was to give way, though what is written counts as told. Change: written lists belong to the process that called; such lists are applied but after a move.

--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -270,7 +270,8 @@
             self._log(LogEvent.ENDPOINT_LIST_INVALID, error=f"no JSON value: {value[:_MAX_LOGGED_VALUE]!r}")
             return
         with self._reading:
-            if call.interrupted:  # the version may be another address's by now
+            # What was written counts as told, also on a call that is to end; but not another address's versions.
+            if call.interrupted in (CallEnd.MOVED, CallEnd.STOPPED):
                 return
             since = None if call.has_list else call.progress.since
             try:
--- a/tests/faults/discovery.py
+++ b/tests/faults/discovery.py
@@ -34,6 +34,7 @@
     node: int
     chance: random.Random
     version: int
+    called_at: float
     ended: bool = False
     lock: threading.Lock = field(default_factory=threading.Lock)
 
@@ -156,7 +157,7 @@
             since = int(head.split(b"since=")[1].split(b" ")[0])
             self._calls += 1
             chance = random.Random(f"{self._seed}/discovery/{node}/{self._calls}")
-            watch = _Watch(sock, node, chance, since)
+            watch = _Watch(sock, node, chance, since, time.monotonic())
             self._ledger.count_fault("discovery call")
             if self._faults.is_down(self._second()):
                 self._ledger.count_fault("call while down")
@@ -269,7 +270,7 @@
             self._send(watch, message[: chance.randrange(len(message) - 3)])
             return
         self._send(watch, message)
-        self._ledger.record(ListWritten(time.monotonic(), watch.node, data["seq"]))
+        self._ledger.record(ListWritten(time.monotonic(), watch.node, data["seq"], watch.called_at))
 
     def _send(self, watch: _Watch, data: bytes) -> None:
         pieces = [data]
--- a/tests/faults/judge.py
+++ b/tests/faults/judge.py
@@ -178,7 +178,7 @@
         written = [
             item.at
             for item in self._ledger.lists
-            if item.node == node and item.at >= run.started_at and item.version >= change.version
+            if item.node == node and item.called_at >= run.started_at and item.version >= change.version
         ]
         return min([latest, *written])
 
@@ -210,8 +210,11 @@
         suffix = ".b" if kind.second_step_parts else ""
         for shard, cell in request.pieces.items():
             part = f"{request.id}.{shard}{suffix}"
-            if cell != cell_of(part) or self._served.get(part, float("inf")) > request.answered_at:
-                self._add("lost", f"{part}: served with a value that no replica gave")
+            late = self._served.get(part, float("inf")) - request.answered_at
+            if cell != cell_of(part) or late > 0:
+                right = "the right" if cell == cell_of(part) else "a wrong"
+                what = f"{part}: served with {right} value, which came from a replica {late:.6f} s after the answer"
+                self._add("lost", what)
         if kind.second_step_parts:
             self._check_two_steps(request, kind)
             return
--- a/tests/faults/ledger.py
+++ b/tests/faults/ledger.py
@@ -62,11 +62,15 @@
 
 @dataclass(frozen=True)
 class ListWritten:
-    """The last byte of a list or a change, up to a version, was handed to the kernel towards a node."""
+    """The last byte of a list or a change, up to a version, was handed to the kernel towards a node.
+
+    `called_at`: when the call came that it answers; the process that made it may have ended since.
+    """
 
     at: float
     node: int
     version: int
+    called_at: float
 
 
 @dataclass
