--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -190,7 +190,9 @@
             self._change.wait_for(lambda: not self._versions_differ or self._calls[0] is call, _MOVE_WAIT)
         with self._reading:
             with self._change:
-                anew, self._versions_differ = self._versions_differ, False
+                # Not by a call that another move has interrupted: the next one begins at the last address.
+                anew = self._versions_differ and not call.interrupted
+                self._versions_differ = self._versions_differ and not anew
                 idle_seconds = call.progress.started_at - self._call_ended_at
                 silent_seconds = call.progress.started_at - self._last_line_at
             if anew:
