A wish for a call wakes all that wait on the watch's condition

Cause, by reading: since a move waits for the old address's calls, two kinds of threads wait on one condition. A single wake-up of `request_watch` or `change_address` could go to a call that begins, and the idle thread for which it was meant slept on. Change: notify_all in both places. Measured: tests of the watch and of values pass; the whole suite has not run on this commit.

--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -94,7 +94,7 @@
             # Guards against a wish that outlives its watch: the next failure would be answered without any backoff.
             self._requested = not self._has_watch()
             needs_worker = self._requested and self._claim_worker()
-            self._change.notify()
+            self._change.notify_all()  # calls that begin wait here too: one of them may take a single wake-up
         if needs_worker:
             self._start_worker()
 
@@ -109,7 +109,7 @@
             for call in self._calls:
                 call.interrupt(CallEnd.MOVED)
             needs_worker = self._claim_worker()
-            self._change.notify()
+            self._change.notify_all()  # calls that begin wait here too: one of them may take a single wake-up
         if needs_worker:
             self._start_worker()
 
