Known failures are listed by case, with command and seed, and as many as there are

Change: a line names one case, the command and seed that show it, what was seen and an open issue. A parametrised test cannot be listed as a whole any more, nothing can be listed twice. In place of the bound of three lines stand these checks, each with a test (one starts pytest beside a list of its own).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from pathlib import Path
 from typing import NamedTuple
@@ -36,30 +37,34 @@
 
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
-MOST_KNOWN = 3
+_ISSUE = re.compile(r"issue \d+")
 
 
 class Known(NamedTuple):
-    """A line of the list: a test's id without its parameters, the cause, and the issue it waits for."""
+    """A line of the list: one case of one test, how it was made to fail, what was seen, and its open issue.
+
+    `test`: the id as pytest prints it; of a parametrised test with its parameters.
+    """
 
     test: str
-    cause: str
+    command: str
+    seen: str
     issue: str
 
 
 def read_known(text: str) -> list[Known]:
-    """The list's lines. Raises pytest.UsageError for one that is malformed, or for too many."""
-    found = []
+    """The list's lines. Raises pytest.UsageError for one that is malformed, or that names a case again."""
+    found: dict[str, Known] = {}
     for line in text.splitlines():
         if not line.strip() or line.startswith("#"):
             continue
         words = [word.strip() for word in line.split("|")]
-        if len(words) != 3 or not all(words):
-            raise pytest.UsageError(f"{KNOWN_RED.name}: not TEST | CAUSE | ISSUE: {line!r}")
-        found.append(Known(*words))
-    if len(found) > MOST_KNOWN:
-        raise pytest.UsageError(f"{KNOWN_RED.name}: {len(found)} lines, at most {MOST_KNOWN} are allowed")
-    return found
+        if len(words) != len(Known._fields) or not all(words) or not _ISSUE.fullmatch(words[-1]):
+            raise pytest.UsageError(f"{KNOWN_RED.name}: not TEST | COMMAND | SEEN | issue N: {line!r}")
+        if words[0] in found:
+            raise pytest.UsageError(f"{KNOWN_RED.name}: twice in the list: {words[0]}")
+        found[words[0]] = Known(*words)
+    return list(found.values())
 
 
 def known() -> list[Known]:
@@ -70,9 +75,9 @@
     if config.getoption("--known-red"):
         return
     listed = {line.test for line in known()}
-    red = [item for item in items if item.nodeid.partition("[")[0] in listed]
+    red = [item for item in items if item.nodeid in listed]
     files = {item.nodeid.partition("::")[0] for item in items}
-    unknown = {t for t in listed if t.partition("::")[0] in files} - {i.nodeid.partition("[")[0] for i in red}
+    unknown = {t for t in listed if t.partition("::")[0] in files} - {item.nodeid for item in red}
     if unknown and not config.getoption("keyword") and not any("::" in arg for arg in config.args):
         raise pytest.UsageError(f"{KNOWN_RED.name} names tests that there are not: {sorted(unknown)}")
     if red:
@@ -86,4 +91,5 @@
 
 def pytest_terminal_summary(terminalreporter: TerminalReporter) -> None:
     for line in known():
-        terminalreporter.write_line(f"known red, passed over: {line.test}: {line.cause} ({line.issue})")
+        terminalreporter.write_line(f"known red, passed over: {line.test}: {line.seen} ({line.issue})")
+        terminalreporter.write_line(f"  to see it: {line.command}")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,23 +1,84 @@
-"""The list of tests that are known to fail: read strictly, bounded, and passed over by name only."""
+"""The list of tests that are known to fail: read strictly, and only the very cases that it names are passed over."""
 
 from __future__ import annotations
 
+import subprocess
+import sys
+from pathlib import Path
+
 import pytest
-from conftest import MOST_KNOWN, Known, known, read_known
+from conftest import Known, known, read_known
+
+LINE = "tests/a.py::test_a[x-1] | python -m faults.soak --seeds 12 | what was seen | issue 1"
+
 
+def test_a_line_has_test_command_what_was_seen_and_issue() -> None:
+    want = Known("tests/a.py::test_a[x-1]", "python -m faults.soak --seeds 12", "what was seen", "issue 1")
+    assert read_known(f"# a comment\n\n{LINE}\n") == [want]
 
-def test_the_list_is_read_and_bounded() -> None:
-    line = "tests/a.py::test_a | a cause | issue 1"
-    assert read_known(f"# a comment\n\n{line}\n") == [Known("tests/a.py::test_a", "a cause", "issue 1")]
-    with pytest.raises(pytest.UsageError, match="at most"):
-        read_known("\n".join([line] * (MOST_KNOWN + 1)))
 
+def test_a_case_stands_in_the_list_once() -> None:
+    with pytest.raises(pytest.UsageError, match="twice"):
+        read_known("\n".join([LINE, LINE]))
 
-@pytest.mark.parametrize("line", ["tests/a.py::test_a", "tests/a.py::test_a | cause |", "a | b | c | d"])
-def test_a_line_without_cause_or_issue_is_refused(line: str) -> None:
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "tests/a.py::test_a",
+        "tests/a.py::test_a | command | seen |",
+        "tests/a.py::test_a | command | issue 1",
+        "tests/a.py::test_a | command | seen | some day",
+        "a | b | c | d | issue 1",
+    ],
+)
+def test_a_line_that_lacks_something_is_refused(line: str) -> None:
     with pytest.raises(pytest.UsageError, match="not TEST"):
         read_known(line)
 
 
+def collected(folder: Path, *lines: str) -> subprocess.CompletedProcess[str]:
+    """What pytest collects of a test with two cases, beside a list of these lines."""
+    tests = folder / "tests"
+    tests.mkdir()
+    here = Path(__file__).parent
+    for name in (
+        "conftest.py",
+        "connection_tools.py",
+        "platform_fakes.py",
+        "node_tools.py",
+        "ports.py",
+        "hosts.py",
+    ):
+        (tests / name).symlink_to(here / name)
+    (tests / "test_two.py").write_text(
+        "import pytest\n\n@pytest.mark.parametrize('n', [1, 2])\ndef test_two(n):\n    assert n == 2\n"
+    )
+    (folder / "KNOWN-RED.txt").write_text("\n".join(lines))
+    command = [
+        sys.executable,
+        "-m",
+        "pytest",
+        "-q",
+        "-p",
+        "no:cacheprovider",
+        f"--rootdir={folder}",
+        str(tests),
+    ]
+    return subprocess.run(command, cwd=folder, capture_output=True, text=True, check=False)
+
+
+def test_only_the_case_that_is_named_is_passed_over(tmp_path: Path) -> None:
+    found = collected(tmp_path, "tests/test_two.py::test_two[1] | pytest | one is not two | issue 1")
+    assert found.returncode == 0 and "1 passed, 1 deselected" in found.stdout, found.stdout + found.stderr
+    assert "one is not two (issue 1)" in found.stdout
+
+
+def test_a_test_with_cases_is_not_passed_over_as_a_whole(tmp_path: Path) -> None:
+    found = collected(tmp_path, "tests/test_two.py::test_two | pytest | one is not two | issue 1")
+    assert found.returncode != 0 and "names tests that there are not" in found.stdout + found.stderr
+
+
 def test_the_list_as_it_stands_can_be_read() -> None:
-    assert len(known()) <= MOST_KNOWN
+    for line in known():
+        assert (Path(__file__).parents[1] / line.test.partition("::")[0]).exists(), line.test
