Parts out at ejected replicas alone are sent again as failed parts are, not as hedges

Cause: such a part counts as failed, but its next attempt fell under the terms of hedges. The cap on open hedges let a quarter of the open attempts go a round, and past the objective nothing was sent, as a hedge could not come in before it; past it each replica also counted as blocked, so that none was preferred.

Change: a part that is out at ejected replicas alone goes to a preferred replica at its next hedge delay, bounded like a retry (attempt cap, budget without the reserve, effects of the class), and past the objective where a late answer has value. It still counts for the breaker on hedges and as a lost race, so that ordinary hedges and trials stay as they were. Blocked is judged past the objective by the time to the deadline, which also keeps a retry there from an ejected replica. 'Hedges past open breakers' and 'third attempt' are one exception now.

--- a/gingervane/decisions/attempt_dispatch.py
+++ b/gingervane/decisions/attempt_dispatch.py
@@ -92,7 +92,8 @@
             return False
         if part.may_have_run and not self._may_run_again(part):
             return False
-        return not part.attempts_made or self._retry_budget.allows_further_attempt(hedged)
+        is_retry = part.has_failed or not hedged
+        return not part.attempts_made or self._retry_budget.allows_further_attempt(not is_retry)
 
     def _may_run_again(self, part: Part) -> bool:
         """No effect twice: what may have run goes again if idempotent, or within the window of its key."""
--- a/gingervane/decisions/hedging.py
+++ b/gingervane/decisions/hedging.py
@@ -12,7 +12,7 @@
 from gingervane.decisions.idle_connections import IdleConnectionLimit
 from gingervane.decisions.latency import LatencyEstimator
 from gingervane.decisions.outlier_ejection import FAILURE_WEIGHT, MAX_EJECTION, OutlierDetector
-from gingervane.decisions.query_state import Attempt, Part
+from gingervane.decisions.query_state import Attempt, Part, Query
 from gingervane.decisions.replica_selection import ReplicaSelector
 from gingervane.decisions.sliding_window import TRAFFIC_WINDOW, SlidingWindowCount
 
@@ -80,9 +80,12 @@
             self._check_response(attempt)
         part = attempt.part
         breakers_open = self._breakers_open()
-        if not attempt.replica.ejected_for and (breakers_open or self._is_queueing(part)):
-            return  # what an ejected replica holds counts as failed, not as late
-        if self._is_useful(part) and self._is_below_cap(part):
+        if part.has_failed:
+            send = self._is_retry_useful(part)
+        else:
+            held_back = breakers_open or self._is_queueing(part)
+            send = not held_back and self._is_hedge_useful(part) and self._is_below_cap(part)
+        if send:
             self._send_hedge(part)
 
     def _check_response(self, attempt: Attempt) -> None:
@@ -113,19 +116,28 @@
         queueing = self._admission.expected_latency() > QUEUEING_LATENCY * usual
         return queueing and query.weight_received < 1 - MAX_STRAGGLER_WEIGHT
 
-    def _is_useful(self, part: Part) -> bool:
-        """Whether a hedge is safe, and can come in before the objective.
+    def _is_retry_useful(self, part: Part) -> bool:
+        """Whether another attempt at a part that is out at ejected replicas alone can come in with any value.
 
-        There is one hedge; where both it and the first attempt are at ejected replicas both count as failed,
-        and another attempt may follow.
+        Such a part has failed. What bounds it is what bounds a retry: the attempt cap, the retry budget and the
+        effects of its class. The cap on open hedges held such parts back round after round, up to the objective;
+        past it none was sent, although a late answer was of value.
         """
         query = part.query
+        has_late_value = query.query_class.late_weight > 0.0
+        return self._can_answer_by(query, query.answer_by if has_late_value else query.objective_at)
+
+    def _is_hedge_useful(self, part: Part) -> bool:
+        """Whether a hedge is safe, is the only one, and can come in before the objective."""
+        query = part.query
         if query.query_class.retry_safety is not api.RetrySafety.IDEMPOTENT:
             return False
-        if len(part.attempts) != 1 and not all(a.replica.ejected_for for a in part.attempts):
-            return False
+        return len(part.attempts) == 1 and self._can_answer_by(query, query.objective_at)
+
+    def _can_answer_by(self, query: Query, due: float) -> bool:
+        """Whether an attempt that is sent now is likely to be answered by then."""
         median = self._latency.percentile(query.arrived.query_class, 0.5)
-        return self._context.now + median <= query.objective_at
+        return self._context.now + median <= due
 
     def _is_below_cap(self, part: Part) -> bool:
         """Whether there are few enough hedges open."""
@@ -135,6 +147,7 @@
         return hedges < cap
 
     def _send_hedge(self, part: Part) -> None:
+        """Send a part to a preferred replica beside those that it is out at."""
         replica = self._selector.substitute(part)
         if replica is None or not self._selector.is_preferred(replica, part.query):
             return
--- a/gingervane/decisions/query_state.py
+++ b/gingervane/decisions/query_state.py
@@ -40,6 +40,11 @@
     done: bool = False
     lost: bool = False  # no way left to have it
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether it is out, and at ejected replicas alone: what they hold counts as failed, not as late."""
+        return bool(self.attempts) and all(attempt.replica.ejected_for for attempt in self.attempts)
+
 
 @dataclass(eq=False, slots=True, weakref_slot=True)
 class Query:
@@ -61,6 +66,10 @@
         """Whether the query has had its end."""
         return self.state is QueryState.SETTLED
 
+    def wanted_by(self, now: float) -> float:
+        """Time by which a part sent now should be answered: the objective, or past it the deadline."""
+        return self.objective_at if now < self.objective_at else self.answer_by
+
     @property
     def coverage(self) -> Coverage:
         """What has been received of the present step."""
--- a/gingervane/decisions/replica_selection.py
+++ b/gingervane/decisions/replica_selection.py
@@ -16,8 +16,8 @@
 from gingervane.decisions.replica_state import KnownReplica
 from gingervane.decisions.slow_start import SlowStart
 
-# Age of a replica's oldest request, as a share of the time to the objective, from which on a new part
-# behind it would be late (docs/design.md, head-of-line blocking).
+# Age of a replica's oldest request, as a share of the time to the objective (past it: to the deadline), from
+# which on a new part behind it would be late (docs/design.md, head-of-line blocking).
 MAX_REQUEST_AGE = 0.35
 # Open requests that sending to another zone counts as (docs/design.md, own-zone candidate).
 ZONE_CROSSING_COST = 0.5
@@ -30,13 +30,13 @@
 
 
 def is_head_of_line_blocked(replica: KnownReplica, query: Query, now: float) -> bool:
-    """Whether the replica's oldest request is old.
+    """Whether the replica's oldest request is old, against the time in which a part of the query is wanted.
 
     Requests that later ones have overtaken do not count: their parts are lost, not queued.
     """
     answered = replica.last_answered_send_at
     oldest = next((key.sent_at for key in replica.requests if key.sent_at > answered), now)
-    return now - oldest > MAX_REQUEST_AGE * (query.objective_at - now)
+    return now - oldest > MAX_REQUEST_AGE * (query.wanted_by(now) - now)
 
 
 class ReplicaSelector:
