A lower index takes back a drain or a removal only by the word of Consul's leader

Cause: a lower index was taken for a restored catalogue's once no agent had shown the higher one for the reset delay. After a restart a watcher did not know which index had been reached and so never asked the leader. An answer without an index was ordered by the time of its reading and undid a drain at once.

Change: only a consistent report has a lower index accepted; without one it is doubted for ever, with a warning after the delay. Watchers know the index that any agent, or the process before, has shown: an answer behind it is followed by a blocking query of 2 s, then by a consistent one, ever more seldom where the leader cannot be asked. A higher index that was given up and shows again takes nothing back until it is vouched for. The model check found two more ways, mended too: an unvouched list took the place of the one vouched for, and a drain told between the leader's word and its acceptance was undone.

--- a/gingervane/membership/consul_polling.py
+++ b/gingervane/membership/consul_polling.py
@@ -12,6 +12,7 @@
 
 WAIT_JITTER_DIVISOR = 16  # Consul adds up to wait/16 to a wait
 _MAX_DOUBLINGS = 16  # of a delay; keeps the power of two within bounds
+_LAGGING_ANSWERS_TO_DOUBT = 2  # in a row
 _ROUND_TRIP_ALLOWANCE = 2.0  # seconds for the way of a blocking query's answer
 _LONG_AGO = -1e18  # seconds on the monotonic clock
 
@@ -20,13 +21,15 @@
     """Pauses of one watcher, in seconds.
 
     `min_interval` between two requests, `initial_delay` after a failure, doubling to `max_delay`. `blocking_wait`:
-    how long a blocking query waits for a change.
+    how long a blocking query waits for a change. `lag_wait`: the same, for an agent that is behind what is known, as
+    most are for a moment only; doubling to `blocking_wait` with each time that the leader could not be asked.
     """
 
     min_interval: float = 0.2
     initial_delay: float = 0.5
     max_delay: float = 15.0
     blocking_wait: float = 30.0
+    lag_wait: float = 2.0
 
     @property
     def max_silence(self) -> float:
@@ -69,11 +72,19 @@
         self._requested_at = _LONG_AGO
         self._unchanged_answers = 0  # in a row, that came early and changed nothing
         self._entry_count = 0
+        self._lagging_answers = 0  # in a row
+        self._failed_vouchings = (
+            0  # in a row: the leader was to be asked of a lagging answer, and could not be
+        )
 
     @property
     def wait(self) -> float:
         """Seconds for which the next blocking query waits for a change."""
-        return self._backoff.blocking_wait
+        backoff = self._backoff
+        if not self._lagging_answers:
+            return backoff.blocking_wait
+        doublings = min(self._failed_vouchings, _MAX_DOUBLINGS)
+        return min(backoff.lag_wait * 2.0**doublings, backoff.blocking_wait)
 
     @property
     def is_blocking(self) -> bool:
@@ -89,10 +100,13 @@
         """Note that a request is sent now."""
         self._requested_at = now
 
-    def record_success(self, index: int, leader_known: bool, now: float, entry_count: int = 0) -> float:
+    def record_success(
+        self, index: int, leader_known: bool, now: float, entry_count: int = 0, known_index: int = 0
+    ) -> float:
         """Note an answer with its index and number of entries; return the seconds until the next request.
 
-        `leader_known`: the agent says that it knows a leader.
+        `leader_known`: the agent says that it knows a leader. `known_index`: the index that the service has shown,
+        also through other agents and to earlier processes.
         """
         self._failures = 0
         is_early = now - self._requested_at < self._backoff.blocking_wait / 2
@@ -101,7 +115,10 @@
         shrank = entry_count < self._entry_count / 2 and not was_consistent
         self._entry_count = entry_count
         self._highest_index = index if was_consistent else max(index, self._highest_index)
-        self.consistent = went_back or shrank  # ask the leader before anything is made of it
+        self._note_lag(index < known_index and not was_consistent)
+        # Ask the leader before anything is made of it. Agents follow each other within moments: of one that is behind
+        # another the leader is asked only if it still is after a wait.
+        self.consistent = went_back or shrank or self._lagging_answers >= _LAGGING_ANSWERS_TO_DOUBT
         if went_back:  # a lagging agent, one restored from a snapshot, or another cluster: begin anew
             self.index = 0
             self._unchanged_answers = 0
@@ -115,6 +132,12 @@
         self._unchanged_answers = self._unchanged_answers + 1 if is_unchanged else 0
         return self._pause_after_answer(leader_known, now)
 
+    def _note_lag(self, is_lagging: bool) -> None:
+        """Count an answer that is behind what is known; any other ends the doubt."""
+        if self.consistent:
+            self._failed_vouchings = 0
+        self._lagging_answers = self._lagging_answers + 1 if is_lagging else 0
+
     def _pause_after_answer(self, leader_known: bool, now: float) -> float:
         backoff = self._backoff
         if not leader_known:
@@ -133,9 +156,11 @@
         self._failures += 1
         self.agent = (self.agent + 1) % self._agent_count
         # Another agent may lag behind this one's index: what it has now must be seen before a change is waited for.
-        # A consistent request that fails proves nothing, and is not retried over and over: time will tell.
+        # A consistent request that fails proves nothing; it is retried ever more seldom, while there is doubt.
         if self.consistent:
             self._highest_index = 0
+            self._lagging_answers = 0
+            self._failed_vouchings += 1
         if self._agent_count > 1:
             self.index = 0
         self.consistent = False
--- a/gingervane/membership/consul_watcher.py
+++ b/gingervane/membership/consul_watcher.py
@@ -35,6 +35,10 @@
 _MAX_LOGGED_FAULTS = 3  # of one answer
 
 
+def _nothing_known() -> int:
+    return 0
+
+
 class ConsulService(NamedTuple):
     """A service to watch. `token_file`: read again for each request, as tokens change in service."""
 
@@ -68,12 +72,17 @@
         report: ReportCallback,
         log_warning: Callable[[str], None],
         rng: random.Random,
+        known_index: Callable[[], int] = _nothing_known,
     ) -> None:
-        """`agents`: positions in `service.agents`. `offset` turns Unix time into the members' clock."""
+        """`agents`: positions in `service.agents`. `offset` turns Unix time into the members' clock.
+
+        `known_index`: the index that the service has shown through any agent, behind which the leader is asked.
+        """
         self._service = service
         self._agents = [service.agents[n] for n in agents]
         self._report = report
         self._log_warning = log_warning
+        self._known_index = known_index
         self._reader = EntryReader(service.names, zones, cells, offset)
         self.query_state = BlockingQueryState(len(agents), service.backoff, rng)
         self._pool = Pool(HTTP_LIMITS, 1, service.backoff.blocking_wait * 2)
@@ -116,9 +125,10 @@
             return state.record_failure()
         self._log_fault("; ".join(faults[:_MAX_LOGGED_FAULTS]))
         age = _whole_number(headers, "x-consul-lastcontact", 9) / 1000
+        known_index = self._known_index()  # before this report moves it
         self._report(members, age, int(index), consistent)
         leader_known = headers.get("x-consul-knownleader", "true").lower() != "false"
-        return state.record_success(int(index), leader_known, time.monotonic(), len(members))
+        return state.record_success(int(index), leader_known, time.monotonic(), len(members), known_index)
 
     def _target(self) -> str:
         state = self.query_state
@@ -153,11 +163,14 @@
     report: ReportCallback,
     log_warning: Callable[[str], None],
     rng: random.Random,
+    known_index: Callable[[], int] = _nothing_known,
 ) -> list[ConsulWatcher]:
     """Return watchers of one service, not yet started, with the agents dealt out among them."""
+    shares = assign_agents(len(service.agents), WATCHERS_PER_SERVICE, rng)
+    seeds = [random.Random(rng.random()) for _ in shares]
     return [
-        ConsulWatcher(service, agents, zones, cells, offset, report, log_warning, random.Random(rng.random()))
-        for agents in assign_agents(len(service.agents), WATCHERS_PER_SERVICE, rng)
+        ConsulWatcher(service, agents, zones, cells, offset, report, log_warning, seed, known_index)
+        for agents, seed in zip(shares, seeds, strict=True)
     ]
 
 
--- a/gingervane/membership/mass_removal_guard.py
+++ b/gingervane/membership/mass_removal_guard.py
@@ -21,7 +21,8 @@
     readmission_delay: float = 1.0
     max_readmission_delay: float = 30.0
     flap_window: float = 60.0
-    # A lower index is accepted after this delay; the second is for reports that the source's leader vouched for.
+    # Of a lower index is warned after the first delay; it is accepted, if the source's leader has vouched for it,
+    # after the second.
     index_reset_delay: float = 35.0
     consistent_index_reset_delay: float = 2.0
 
--- a/gingervane/membership/reconciliation.py
+++ b/gingervane/membership/reconciliation.py
@@ -4,7 +4,8 @@
   taken back only by a later report of the same source about the same server; another source's older or newer "ready"
   does not undo it. (Rule 3 counts from when a co-ordinator was notified.)
 - **An older report never undoes a newer one.** Reports of a source with an index (Consul's) are ordered by that, over
-  all agents that speak for it; others by the time from which they hold: when they were read, less the age that they
+  all agents that speak for it, and an index that went back counts by the word of the source's leader alone; others by
+  the time from which they hold: when they were read, less the age that they
   state of themselves. An entry older than the one that is held of that source is passed over, drains apart.
 - **A server that a source no longer lists is gone**, as if reported so, unless it was a mass removal. An empty or
   halved list is what a catalogue returns after its own restart. Then the missing servers are retained for a while.
@@ -28,7 +29,7 @@
 from gingervane.membership import reconciliation_state
 from gingervane.membership.mass_removal_guard import MassRemovalGuard
 from gingervane.membership.server_record import ServerEntry, ServerRecord
-from gingervane.membership.source_ordering import SourceReport, SourceState
+from gingervane.membership.source_ordering import IndexDoubt, SourceReport, SourceState
 from gingervane.membership.view import Member
 
 
@@ -61,6 +62,7 @@
         self._unevaluated: set[int] = set()  # servers to evaluate again
         self._time_dependent: set[int] = set()  # servers that change with time alone
         self._changed: dict[int, Member | None] = {}  # since `refresh` was last called
+        self._doubts: list[IndexDoubt] = []  # not taken yet
         self.index_resets = 0
 
     def record_response(self, server: int, now: float) -> None:
@@ -72,7 +74,7 @@
         """Take a complete list. An unknown source raises KeyError."""
         source = self._sources[report.source]
         valid_from = now - max(report.age, 0.0)
-        if report.source_index and source.index:
+        if source.index:
             is_newest = self._is_newest(source, report, now)
         else:
             is_newest = source.accept_by_time(report, valid_from)
@@ -83,15 +85,31 @@
     def refresh(self, now: float) -> dict[int, Member | None]:
         """Return the servers whose row has changed since the last call, None for those that are removed."""
         for source in self._sources.values():
-            if source.pending and now >= source.reset_due(self._guard):
-                report = source.accept_reset()
-                self.index_resets += 1
+            if not source.pending or now < source.reset_due(self._guard):
+                continue
+            if not source.pending_consistent:
+                self._doubts.append(source.report_doubt())
+                continue
+            self.index_resets += 1
+            for report in source.accept_reset():
                 self._apply(report, source.latest_valid_from, True, now)
         self._evaluate_all(self._unevaluated | self._time_dependent, now)
         changed = self._changed
         self._changed = {}
         return changed
 
+    def take_doubts(self) -> list[IndexDoubt]:
+        """Return the doubts that have come up since the last call."""
+        doubts, self._doubts = self._doubts, []
+        return doubts
+
+    def known_indexes(self) -> dict[str, int]:
+        """Return for each source the index behind which, or without which, its leader is to be asked.
+
+        It is one more than the newest while that one has come back and nobody has vouched for it.
+        """
+        return {name: source.index + source.awaits_leader for name, source in self._sources.items()}
+
     def view(self, now: float) -> ReconciledView:
         """Refresh, and return the view."""
         self.refresh(now)
--- a/gingervane/membership/service.py
+++ b/gingervane/membership/service.py
@@ -164,6 +164,7 @@
             lambda members, age, index, consistent: sources.report(name, members, age, index, consistent),
             self._log_warning,
             self._rng,
+            lambda: sources.known_index(name),
         )
 
     def _apply_file(self, lists: EndpointLists) -> None:
@@ -192,6 +193,7 @@
         Raises EndpointFileError if the list file is the only source and can neither be read nor stood in for. A
         catalogue that does not answer is waited for while the co-ordinator is up and not ready.
         """
+        self.nodes.load()
         for watcher in self._watchers:
             watcher.start()
         if self._file:
@@ -239,6 +241,6 @@
 
 
 def mass_removal_guard(consul: ConsulTable) -> MassRemovalGuard:
-    """Return the limits for Consul: an index reset is doubted for longer than a healthy agent is silent."""
+    """Return the limits for Consul: of a lower index is warned after longer than a healthy agent is silent."""
     max_silence = Backoff(blocking_wait=consul.wait).max_silence
     return MassRemovalGuard(index_reset_delay=max_silence + _INDEX_RESET_MARGIN)
--- a/gingervane/membership/source_owner.py
+++ b/gingervane/membership/source_owner.py
@@ -60,6 +60,9 @@
         self._lock = threading.Lock()  # over `on_update`: the start and the owner may both call it
         # By source, on the monotonic clock: the time from which its newest report holds.
         self.latest_valid_from: dict[str, float] = {}
+        self._known_indexes: dict[str, int] = {}  # by source; replaced whole, for readers on other threads
+        self._stored: StoredState | None = None  # of the snapshot, once it is loaded
+        self._loaded = False
         self._thread = threading.Thread(target=self._run, name="sources", daemon=True)
 
     @property
@@ -87,20 +90,32 @@
         """Take a complete list of a source; from any thread."""
         self._queue.put(SourceReport(source, members, age, index, consistent))
 
+    def known_index(self, source: str) -> int:
+        """Return the index behind which a source's leader is to be asked; 0: none has been reached. Any thread."""
+        return self._known_indexes.get(source, 0)
+
     def record_response(self, server: int) -> None:
         """Note a successful response of a server; on the decision thread."""
         self._response_times[server] = time.monotonic()
 
     def start(self, timeout: float) -> bool:
         """Wait for a first list for `timeout` seconds, then take the snapshot's; tell whether anything is known."""
-        stored = self._load_snapshot()
+        self.load()
         if self._writer:
             self._writer.start()
         self._thread.start()
-        if not self._known.wait(timeout) and stored is not None:
-            self._serve_stored(stored)
+        if not self._known.wait(timeout) and self._stored is not None:
+            self._serve_stored(self._stored)
         return self._known.is_set()
 
+    def load(self) -> None:
+        """Take up the snapshot, once; best before the sources are watched, which then know how far it had come."""
+        if self._loaded:
+            return
+        self._loaded = True
+        self._stored = self._load_snapshot()
+        self._known_indexes = self._reconciliation.known_indexes()
+
     def _serve_stored(self, stored: StoredState) -> None:
         with self._lock:
             if self._known.is_set():
@@ -161,6 +176,11 @@
         if report is not None:
             self._reconciliation.apply_report(report, now)
         self._publish(now, report is not None)
+        for doubt in self._reconciliation.take_doubts():
+            self._log_warning(
+                f"{doubt.source}: index {doubt.shown_index} is behind {doubt.newest_index}, and no leader has vouched"
+                " for it; what it takes back does not count"
+            )
         if self._writer and self._writer.is_write_due(now):
             self._writer.submit(self._snapshot_content(now))
 
@@ -172,6 +192,7 @@
         self._pending_changes |= self._reconciliation.refresh(now)
         ages = self._reconciliation.latest_view(now).ages
         self.latest_valid_from = {name: now - age for name, age in ages.items()}
+        self._known_indexes = self._reconciliation.known_indexes()
         with self._lock:
             if not self._known.is_set() and not has_report:
                 return  # only the snapshot's list: published when the start's timeout has ended
