The fault rig's records: answers before they leave, lists only where they can be read, kernel times

Change: the reset branch writes down first, as all others do. The stand-in discovery ends a watch whose node has closed it. A call to discovery is dated by the kernel, so that a new process is not held to what an ended one was told. Of several parts read at once the kernel tells the time of the last only (two sends 0.3 s apart had the later one's time): the others are judged by the earliest time that is proved, which the judge's own bounds do not change; how many there are is counted. The table of all records, and what each can hide or invent, stands in tests/faults/ledger.py. Runs of a campaign are processes of their own, `--plays` repeats seeds, the logs and the ledger of a broken run are kept by default, and each line tells for how long the rig stood still.

--- a/tests/faults/campaign.py
+++ b/tests/faults/campaign.py
@@ -6,7 +6,9 @@
 import sys
 from collections import Counter
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from multiprocessing import get_context
 from pathlib import Path
 from typing import TYPE_CHECKING, Protocol
 
@@ -41,7 +43,10 @@
 def _options(description: str, seconds: float) -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--seeds", default="1-20")
-    parser.add_argument("--at-once", type=int, default=4)
+    parser.add_argument("--plays", type=int, default=1, help="how often each seed is played")
+    parser.add_argument(
+        "--at-once", type=int, default=4, help="runs side by side, each in a process of its own"
+    )
     parser.add_argument("--seconds", type=float, default=seconds, help="length of a run")
     parser.add_argument("--root", type=Path, default=ROOT)
     parser.add_argument("--python", default=sys.executable)
@@ -56,13 +61,10 @@
     options = _options(description, seconds)
     totals, rules, statuses, faults = Counter[str](), Counter[str](), Counter[int](), Counter[str]()
 
-    def play_seed(seed: int) -> Result:
-        logs = options.logs / f"seed-{seed}" if options.logs else None
-        plan = draw(seed, options.seconds)
-        return play(plan, options.root, options.python, shim(seed, options.shim), logs)
-
-    with ThreadPoolExecutor(options.at_once) as pool:
-        for run in pool.map(play_seed, _seeds(options.seeds)):
+    seeds = [seed for seed in _seeds(options.seeds) for _ in range(options.plays)]
+    # A process for each run: threads of several runs in one process would hold up each other's clocks.
+    with ProcessPoolExecutor(options.at_once, get_context("spawn"), max_tasks_per_child=1) as pool:
+        for run in pool.map(partial(_play_seed, options, draw, play), seeds):
             totals.update(_totals(run))
             rules.update(violation.rule for violation in run.violations)
             statuses.update(run.statuses)
@@ -76,6 +78,14 @@
     return 1 if bad else 0
 
 
+def _play_seed(
+    options: argparse.Namespace, draw: Callable[[int, float], Plan], play: PlayPlan, seed: int
+) -> Result:
+    logs = options.logs / f"seed-{seed}" if options.logs else None
+    plan = draw(seed, options.seconds)
+    return play(plan, options.root, options.python, shim(seed, options.shim), logs)
+
+
 def _totals(run: Result) -> dict[str, int]:
     return {
         "runs": 1,
@@ -92,9 +102,12 @@
 def _print_run(run: Result, most: int) -> None:
     answered = run.statuses[200]
     print(
-        f"seed {run.seed}: {run.requests} requests, {answered} answered, {len(run.violations)} violations",
+        f"seed {run.seed}: {run.requests} requests, {answered} answered, {len(run.violations)} violations, "
+        f"{len(run.doubtful_violations)} doubtful, rig stood still for {run.longest_stall:.3f} s",
         flush=True,
     )
+    if run.kept:
+        print(f"  kept in {run.kept}", flush=True)
     for violation in run.violations[:most]:
         print(f"  {violation.rule}: {violation.what}", flush=True)
     for name in run.ended_early:
--- a/tests/faults/clients.py
+++ b/tests/faults/clients.py
@@ -11,7 +11,8 @@
 from faults.ledger import Ledger, Request
 from faults.node_process import Node
 from faults.plans import Plan
-from faults.proxy import receive, reset, stamp
+from faults.proxy import reset
+from faults.timed_frames import receive, stamp
 
 CLIENTS = 12  # of each node
 EXTRA_WAIT = 1.5  # seconds past its time that a client waits, to see whether an answer comes late or never
--- a/tests/faults/discovery.py
+++ b/tests/faults/discovery.py
@@ -19,6 +19,7 @@
 from faults.discovery_faults import DiscoveryFaults
 from faults.ledger import EndpointChange, Ledger, ListWritten
 from faults.proxy import close_all, reset
+from faults.timed_frames import receive, stamp
 
 LINE_INTERVAL = 2.0  # seconds after which an empty line is due on a watch
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -67,6 +68,7 @@
         addresses: list[str] = []
         for _ in range(PORTS_PER_NODE):
             listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+            stamp(listener)  # what is accepted has it from its first byte on
             self._listeners.append(listener)
             addresses.append("{}:{}".format(*listener.getsockname()))
             threading.Thread(target=self._accept, args=(listener, node), daemon=True).start()
@@ -148,16 +150,17 @@
     def _take(self, sock: socket.socket, node: int) -> None:
         """Read one call, and refuse it, leave it hanging or put it into the queue."""
         with contextlib.suppress(OSError, IndexError, ValueError):
-            head = b""
+            head, called_at = b"", 0.0
             while b"\r\n\r\n" not in head:
-                if not (data := sock.recv(4096)):
+                data, called_at = receive(sock, 4096)
+                if not data:
                     sock.close()
                     return
                 head += data
             since = int(head.split(b"since=")[1].split(b" ")[0])
             self._calls += 1
             chance = random.Random(f"{self._seed}/discovery/{node}/{self._calls}")
-            watch = _Watch(sock, node, chance, since, time.monotonic())
+            watch = _Watch(sock, node, chance, since, called_at)
             self._ledger.count_fault("discovery call")
             if self._faults.is_down(self._second()):
                 self._ledger.count_fault("call while down")
@@ -281,6 +284,15 @@
             if number:
                 time.sleep(watch.chance.uniform(0.0, 0.02))
             with watch.lock:
-                if watch.ended:
+                # The first write to a connection that its peer has closed succeeds, and tells nobody anything.
+                if watch.ended or _is_closed(watch.sock):
                     raise ConnectionAbortedError
                 watch.sock.sendall(piece)
+
+
+def _is_closed(sock: socket.socket) -> bool:
+    """Whether the peer has ended a connection on which it has nothing more to say."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
--- a/tests/faults/judge.py
+++ b/tests/faults/judge.py
@@ -39,6 +39,7 @@
         self._parts: dict[str, list[PartReceived]] = defaultdict(list)
         for seen in ledger.parts:
             self._parts[seen.id.partition(".")[0]].append(seen)
+            self.crossings["part whose time is not exact"] += seen.earliest < seen.at
         self._served: dict[str, float] = {}
         self._skipped: dict[str, list[float]] = defaultdict(list)
         for answer in ledger.answers:
@@ -107,11 +108,10 @@
         )
         runs: dict[str, int] = defaultdict(int)
         for seen in self._parts[request.id]:
-            if seen.at > end + AFTER_END and not self._was_paused(request.node, end - 0.05, seen.at):
-                self._add(
-                    "lost", f"{seen.id} sent {seen.at - end:.3f} s after the end of its request", timed=True
-                )
-            left = request.sent_at + request.timeout - seen.at
+            after = seen.earliest - end
+            if after > AFTER_END and not self._was_paused(request.node, end - 0.05, seen.at):
+                self._add("lost", f"{seen.id} sent {after:.3f} s after the end of its request", timed=True)
+            left = request.sent_at + request.timeout - seen.earliest
             held = self._was_paused(request.node, seen.at - 0.2, seen.at)
             if seen.timeout > max(left, 0.0) + DEADLINE_SLACK and not held:
                 what = f"{seen.id} told {seen.timeout:.3f} s, its client has {left:.3f} s left"
@@ -138,7 +138,7 @@
         for change in self._ledger.endpoint_changes:
             changes[change.replica].append(change)
         for seen in self._ledger.parts:
-            before = [change for change in changes[seen.replica] if change.at <= seen.at]
+            before = [change for change in changes[seen.replica] if change.at <= seen.earliest]
             if not before or before[-1].health == "SERVING":
                 continue
             first = next(c for c in reversed(before) if c is before[0] or self._serves_before(before, c))
@@ -152,13 +152,11 @@
 
     def _check_drained_part(self, seen: PartReceived, change: EndpointChange) -> None:
         told = self._told_at(seen.node, seen.at, change)
-        if seen.at <= told + GRACE:
+        if seen.earliest <= told + GRACE:
             return
         self.crossings["part to a drained replica"] += 1
         if not self._was_paused(seen.node, told, seen.at):
-            what = (
-                f"{seen.id} to replica {seen.replica} {seen.at - told:.3f} s after node {seen.node} was told"
-            )
+            what = f"{seen.id} to replica {seen.replica} {seen.earliest - told:.3f} s after node {seen.node} was told"
             self._add("drain", what, timed=True)
 
     def _told_at(self, node: int, at: float, change: EndpointChange) -> float:
--- a/tests/faults/ledger.py
+++ b/tests/faults/ledger.py
@@ -1,4 +1,21 @@
-"""What passed on the sockets, as the rig's own ends saw it. Times: the monotonic clock, which all processes share."""
+"""What passed on the sockets, as the rig's own ends saw it. Times: the monotonic clock, which all processes share.
+
+What each record is taken before or after decides what it can hide or invent where the rig's thread has to wait; for
+how long it had to at most is told with each run (`StallMeter`).
+
+| record | taken | so a wait can |
+| --- | --- | --- |
+| `PartReceived` | by the kernel; exact for the last of those read at once | hide a late part, not invent one |
+| `AnswerForwarded` | before the last byte leaves | hide that a node had an answer too soon, which it cannot make up |
+| `ListWritten.at` | after the last byte was handed over | hide a part sent within the wait after the grace |
+| `ListWritten.called_at` | by the kernel, as the call comes | neither |
+| `EndpointChange` | before discovery tells anybody | neither: what is told counts from the writing |
+| `Request.sent_at` | after the last byte was handed over | hide an answer, or a time-out told, that is late by less |
+| `Request.answered_at` | by the kernel | neither |
+| `Request.disconnected_at` | after the close | hide parts that were sent within the wait |
+| `pauses` | before SIGSTOP, after SIGCONT | excuse what came within the wait |
+| `NodeRun` | before the start, before the signal | hide a request that ends within 0.05 s of a kill |
+"""
 
 from __future__ import annotations
 
@@ -9,9 +26,13 @@
 
 @dataclass(frozen=True)
 class PartReceived:
-    """The last byte of a part's frame was read from a node. `id` as sent, `wait` in seconds, as it was told."""
+    """The last byte of a part's frame came from a node, at `at` or at some time between `earliest` and then.
+
+    `id` as sent, `timeout` in seconds, as it was told.
+    """
 
     at: float
+    earliest: float
     node: int
     replica: int
     id: str
@@ -64,7 +85,7 @@
 class ListWritten:
     """The last byte of a list or a change, up to a version, was handed to the kernel towards a node.
 
-    `called_at`: when the call came that it answers; the process that made it may have ended since.
+    `called_at`: when the call came that it answers, by the kernel; the process that made it may have ended since.
     """
 
     at: float
--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -17,52 +17,7 @@
 
 from faults.ledger import AnswerForwarded, Ledger, PartReceived
 from faults.plans import ProxyFaults
-
-_TIMESTAMPS = 35  # SO_TIMESTAMPNS and SCM_TIMESTAMPNS of Linux; the socket module has no name for them
-_TIMESPEC = struct.Struct("qq")
-
-
-def _offset() -> float:
-    """The monotonic clock less the wall clock, of the pair of readings that took the least time."""
-    pairs = [(time.monotonic(), time.time(), time.monotonic()) for _ in range(200)]
-    before, wall, after = min(pairs, key=lambda pair: pair[2] - pair[0])
-    return (before + after) / 2 - wall
-
-
-_OFFSET = _offset()  # the wall clock of this process is not stepped
-
-
-def stamp(sock: socket.socket) -> None:
-    """Have the kernel say when what is received came, whenever this process gets round to reading it."""
-    sock.setsockopt(socket.SOL_SOCKET, _TIMESTAMPS, 1)
-
-
-def receive(sock: socket.socket, most: int = 65536) -> tuple[bytes, float]:
-    """Bytes, and when the last of them came, on the monotonic clock."""
-    data, extra, _, _ = sock.recvmsg(most, 64)
-    now = time.monotonic()
-    for level, kind, content in extra:
-        if level == socket.SOL_SOCKET and kind == _TIMESTAMPS:
-            seconds, nanoseconds = _TIMESPEC.unpack(content[: _TIMESPEC.size])
-            return data, min(seconds + nanoseconds / 1e9 + _OFFSET, now)
-    return data, now
-
-
-class FrameParser:
-    """Cuts a byte stream into frames, however it comes."""
-
-    def __init__(self, take: Callable[[bytes, bytes], None]) -> None:
-        self._take, self._buffer = take, bytearray()
-
-    def feed(self, data: bytes) -> None:
-        self._buffer += data
-        while len(self._buffer) >= 5:
-            (length,) = struct.unpack_from("<I", self._buffer)
-            if not 1 <= length <= 1 << 20 or len(self._buffer) < 4 + length:
-                return
-            letter, rest = bytes(self._buffer[4:5]), bytes(self._buffer[5 : 4 + length])
-            del self._buffer[: 4 + length]
-            self._take(letter, rest)
+from faults.timed_frames import Arrival, FrameParser, TimedFrame, TimedFrameParser, TimedReceiver, stamp
 
 
 def parse_call(rest: bytes) -> list[tuple[str, int, dict[str, str], bytes]]:
@@ -109,6 +64,7 @@
         self._faults, self._seed, self._ledger = faults, seed, ledger
         self._open: list[socket.socket] = []
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        stamp(self._listener)  # what is accepted has it from its first byte on
         self.port: int = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -120,7 +76,6 @@
                 far.settimeout(None)
                 for sock in (near, far):
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                    stamp(sock)
                 self._open += [near, far]
                 answers = FrameParser(self._answer)
                 for name, source, sink, read, written in (
@@ -136,7 +91,7 @@
         self,
         source: socket.socket,
         sink: socket.socket,
-        read: Callable[[bytes, float], None],
+        read: Callable[[Arrival], None],
         written: Callable[[bytes], None],
         chance: random.Random,
     ) -> None:
@@ -145,14 +100,11 @@
         threading.Thread(
             target=self._carry, args=(waiting, source, sink, written, chance), daemon=True
         ).start()
-        data = b"."
         with contextlib.suppress(OSError):
-            while True:
-                data, at = receive(source)
-                if not data:
-                    break
-                read(data, at)
-                waiting.put(data)
+            receiver = TimedReceiver(source)
+            while (arrival := receiver.receive()).data:
+                read(arrival)
+                waiting.put(arrival.data)
         waiting.put(b"")
 
     def _carry(
@@ -177,8 +129,8 @@
                 if chance.random() < faults.reset:
                     self._ledger.count_fault("proxy reset")
                     kept = data[: chance.randint(0, len(data))]
+                    written(kept)  # before it leaves, as in `_pass_on`
                     sink.sendall(kept)
-                    written(kept)
                     reset(source)
                     reset(sink)
                     return
@@ -208,25 +160,21 @@
             written(piece)  # before it leaves: what it causes at the node must not be written down first
             sink.sendall(piece)
 
-    def _part_recorder(self) -> Callable[[bytes, float], None]:
-        """Takes the bytes of one connection with the time at which they came, and writes down its parts."""
-        came = [0.0]
+    def _part_recorder(self) -> Callable[[Arrival], None]:
+        """Takes what comes on one connection, and writes down its parts."""
 
-        def call(letter: bytes, rest: bytes) -> None:
-            if letter == b"q":
-                for part, shard, words, _ in parse_call(rest):
-                    wait = int(words["d"]) / 1000
-                    self._ledger.record(
-                        PartReceived(came[0], self._node, self._replica, part, shard, wait, words)
+        def call(frame: TimedFrame) -> None:
+            if frame.letter != b"q":
+                return
+            for part, shard, words, _ in parse_call(frame.rest):
+                wait = int(words["d"]) / 1000
+                self._ledger.record(
+                    PartReceived(
+                        frame.at, frame.earliest, self._node, self._replica, part, shard, wait, words
                     )
+                )
 
-        tap = FrameParser(call)
-
-        def feed(data: bytes, at: float) -> None:
-            came[0] = at
-            tap.feed(data)
-
-        return feed
+        return TimedFrameParser(call).feed
 
     def _answer(self, letter: bytes, rest: bytes) -> None:
         line, _, value = rest.partition(b"\n")
@@ -244,5 +192,5 @@
     """What goes out on this side is not looked at."""
 
 
-def _nothing_read(data: bytes, at: float) -> None:
+def _nothing_read(arrival: Arrival) -> None:
     """What comes in on this side is not looked at."""
--- a/tests/faults/replicas.py
+++ b/tests/faults/replicas.py
@@ -15,7 +15,8 @@
 
 from faults.ledger import Ledger
 from faults.plans import ReplicaFaults
-from faults.proxy import FrameParser, close_all, parse_call, reset
+from faults.proxy import close_all, parse_call, reset
+from faults.timed_frames import FrameParser
 
 
 def cell_of(part: str) -> str:
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -22,10 +22,11 @@
 from faults.clients import CLIENTS, Client, crowd
 from faults.discovery import DiscoveryService
 from faults.judge import RuleChecker, Violation
+from faults.kept_runs import keep_run
 from faults.ledger import Ledger
 from faults.node_process import Node, Program
 from faults.plans import Crowd, Plan, Restart, draw
-from faults.processor_time import processor_times, stolen_share
+from faults.processor_time import StallMeter, processor_times, stolen_share
 from faults.replicas import Alarm, Replica
 
 ROOT = Path(__file__).parents[2]
@@ -49,6 +50,8 @@
     attempts: int = 0
     ended_early: list[str] = field(default_factory=list)  # nodes that ended though nobody told them to
     stolen_share: float = 0.0  # share of the processors' time that was wanted and that the host took
+    longest_stall: float = 0.0  # seconds for which no thread of the rig ran
+    kept: Path | None = None  # where the logs, the ledger and the findings of a broken run are
 
     @property
     def untimed_violations(self) -> list[Violation]:
@@ -66,7 +69,8 @@
 ) -> Result:
     """Play a plan to its end and judge it.
 
-    `keep_logs`: where the nodes' logs go; nowhere if not given. `ledger`: for a caller that looks into it itself.
+    `keep_logs`: where the nodes' logs go; else those of a run that broke a rule are kept, with its ledger.
+    `ledger`: for a caller that looks into it itself.
     """
     ledger, alarm, before = ledger or Ledger(), Alarm(), processor_times()
     aim = max(c.latency_objective for c in plan.classes)
@@ -90,9 +94,14 @@
             stack.callback(nodes[-1].close)
         for node in nodes:
             node.wait_ready()
-        _Play(plan, nodes, replicas, discovery, ledger).run()
+        with StallMeter() as meter:
+            _Play(plan, nodes, replicas, discovery, ledger).run()
         early = [f"n{n.number}" for n in nodes if n.process.poll() is not None and not n.ending]
-    return _judge(plan, ledger, early, stolen_share(before, processor_times()))
+        result = _judge(plan, ledger, early, stolen_share(before, processor_times()))
+        result.longest_stall = meter.longest
+        if result.violations or result.doubtful_violations or result.ended_early:
+            result.kept = keep_run(folder, plan, ledger, result)
+    return result
 
 
 def _judge(plan: Plan, ledger: Ledger, early: list[str], stolen: float) -> Result:
--- a/tests/test_decisions_failed_parts.py
+++ b/tests/test_decisions_failed_parts.py
@@ -91,7 +91,7 @@
 
 @pytest.mark.parametrize("semantics", [RetrySafety.IDEMPOTENT, RetrySafety.IDEMPOTENCY_KEY])
 def test_parts_found_lost_after_the_objective_are_sent_again(semantics: RetrySafety) -> None:
-    """A process that has just started knows no percentile: replicas are found silent at the objective only."""
+    """A process that has just started knows no percentile: silent replicas are found at the objective."""
     fleet = Fleet(with_class(semantics=semantics, window=3.0))
     fleet.silent = SILENT
     end, took = fleet.end_of(fleet.host.query(*range(PARTS)))
--- a/tests/test_fault_rig.py
+++ b/tests/test_fault_rig.py
@@ -24,6 +24,7 @@
 import contextlib
 import select
 import socket
+import struct
 import threading
 import time
 from collections.abc import Iterator
@@ -35,6 +36,7 @@
 from faults.plans import ProxyFaults
 from faults.proxy import Proxy
 from faults.replicas import good_answer
+from faults.timed_frames import TimedFrame, TimedFrameParser, TimedReceiver
 
 GAP = 0.3  # seconds by which a reader is late
 Record = PartReceived | AnswerForwarded | Request | ListWritten
@@ -176,3 +178,34 @@
     assert ledger.lists[0].called_at <= sent_at + GAP / 2
     caller.sock.close()
     discovery.close()
+
+
+def frame(text: bytes) -> bytes:
+    return struct.pack("<I", 1 + len(text)) + b"q" + text
+
+
+def test_of_frames_that_are_read_at_once_only_the_last_has_an_exact_time() -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    near = socket.create_connection(listener.getsockname())
+    far, _ = listener.accept()
+    near.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    receiver, frames = TimedReceiver(far), list[TimedFrame]()
+    parser = TimedFrameParser(frames.append)
+    began = time.monotonic()
+    near.sendall(frame(b"first"))
+    first_sent = time.monotonic()
+    eventually(lambda: time.monotonic() > began + GAP)  # the reader is late
+    near.sendall(frame(b"second"))
+    second_sent = time.monotonic()
+    while len(frames) < 2:
+        parser.feed(receiver.receive())
+    first, second = frames
+    assert (
+        first.earliest <= first_sent and first.at >= began + GAP
+    ), "the kernel has the second one's time only"
+    assert began + GAP <= second.earliest == second.at <= second_sent + 0.001
+    near.sendall(frame(b"third"))
+    parser.feed(receiver.receive())
+    assert frames[2].earliest == frames[2].at, "alone in what was read"
+    for sock in (near, far, listener):
+        sock.close()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -295,7 +295,7 @@
 
 
 def test_a_restored_catalogue_is_believed_in_time() -> None:
-    """By the word of its leader; without it nothing is taken back at any time: test_membership_vouching.py."""
+    """By the word of its leader; without it nothing is taken back, ever: test_membership_vouching.py."""
     for sure, wait in ((True, FENCE.consistent_index_reset_delay),):
         merge = Reconciliation(("consul",), FENCE)
         consul(merge, 0.0, 100, member(0, DRAINING), member(1))
--- a/tests/test_reconciliation_model.py
+++ b/tests/test_reconciliation_model.py
@@ -55,7 +55,7 @@
 
 class Watch(NamedTuple):
     """What was told, kept beside the merge and by another rule than its own: for each server the index of the
-    newest drain that no answer took back, be it of that index or a later one or one that the leader vouched for."""
+    newest drain that no answer took back, of that index, a later one, or vouched for by the leader."""
 
     named: frozenset[int] = frozenset()
     drained: tuple[int, ...] = (0, 0)
