Overdue parts go with the ejection of their replica, and a failed retry is followed at once

Symptom: the hard case of lost answers still failed beside heavy load with parts at ejected replicas retried.

Cause: the part whose missing response only took back a replica's credit waited for another hedge delay after the next one had ejected it, of a percentile that rescued parts had raised; and a part whose retry had failed waited likewise while its first attempt was open at an ejected replica.

Change: what had no response at a replica before it was ejected for that goes again in the same batch; what is out there for a shorter time waits for its own delay, as to send all again at an ejection doubled the load. An attempt that ends with only ejected replicas left is retried at once; the part is not lost while one of them is open.

--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -268,11 +268,15 @@
         self.completion.update(query)
 
     def _retry(self, part: Part) -> None:
-        """Try a failed part again at another replica, which is no hedge; with no way left it is lost."""
-        if part.done or part.attempts:
+        """Try a failed part again at another replica, which is no hedge; with no way left it is lost.
+
+        An attempt that is still open at an ejected replica has failed too, but may yet be answered.
+        """
+        if part.done or (part.attempts and not part.has_failed):
             return
         replica = self._selector.substitute(part)
-        part.lost = replica is None or not self._dispatcher.send(part, replica)
+        sent = replica is not None and self._dispatcher.send(part, replica)
+        part.lost = not sent and not part.attempts
         self.completion.update(part.query)
 
 
--- a/gingervane/decisions/hedging.py
+++ b/gingervane/decisions/hedging.py
@@ -14,6 +14,7 @@
 from gingervane.decisions.outlier_ejection import FAILURE_WEIGHT, MAX_EJECTION, OutlierDetector
 from gingervane.decisions.query_state import Attempt, Part, Query
 from gingervane.decisions.replica_selection import ReplicaSelector
+from gingervane.decisions.replica_state import KnownReplica
 from gingervane.decisions.sliding_window import TRAFFIC_WINDOW, SlidingWindowCount
 
 # Share of the class's parts that end within the hedge delay (docs/design.md).
@@ -76,27 +77,45 @@
             return
         self.start_timer(attempt)
         attempt.hedge_delays += 1
+        is_ejection = False
         if attempt.hedge_delays % NO_RESPONSE_DELAYS == 0:
-            self._check_response(attempt)
+            is_ejection = self._check_response(attempt)
         part = attempt.part
         breakers_open = self._breakers_open()
         if part.has_failed:
-            send = self._is_retry_useful(part)
-        else:
-            held_back = breakers_open or self._is_queueing(part)
-            send = not held_back and self._is_hedge_useful(part) and self._is_below_cap(part)
-        if send:
+            self._retry_failed(part)
+        elif not breakers_open and self._is_hedge_useful(part) and self._is_below_cap(part):
             self._send_hedge(part)
+        if is_ejection:
+            self._retry_overdue(attempt.replica)
 
-    def _check_response(self, attempt: Attempt) -> None:
-        """Take an attempt for unanswered if no part sent as late or later has been answered there."""
+    def _check_response(self, attempt: Attempt) -> bool:
+        """Take an attempt for unanswered if no part sent as late or later has been answered there.
+
+        Return whether that ejects the replica, which was not ejected before.
+        """
         replica = attempt.replica
         if replica.last_answered_send_at >= attempt.request.sent_at:
-            return
+            return False
+        was_ejected = replica.ejected_for > 0
         replica.last_unresponsive_at = self._context.now
         self._outlier_detector.record_outcome(replica, FAILURE_WEIGHT, api.EjectionReason.NO_RESPONSE)
         replica.unresponsive_until = self._context.now + RECONNECT_PERIOD
         self._idle_connections.record_no_response(attempt)
+        return replica.ejected_for > 0 and not was_ejected
+
+    def _retry_overdue(self, replica: KnownReplica) -> None:
+        """Send those parts again that had no response at a replica before it was ejected for that.
+
+        Each of them was evidence, and would have gone with a later check. Their next delay is long where rescued
+        parts have raised the percentile. What is out there for a shorter time waits for its own delay: to send
+        everything again at an ejection doubled the load.
+        """
+        attempts = list(self._dispatcher.open_attempts.values())
+        for attempt in attempts:
+            overdue = attempt.open and attempt.hedge_delays >= NO_RESPONSE_DELAYS
+            if overdue and attempt.replica is replica and attempt.part.has_failed:
+                self._retry_failed(attempt.part)
 
     def _breakers_open(self) -> bool:
         """Ask both breakers, as each changes its state only when asked."""
@@ -116,8 +135,8 @@
         queueing = self._admission.expected_latency() > QUEUEING_LATENCY * usual
         return queueing and query.weight_received < 1 - MAX_STRAGGLER_WEIGHT
 
-    def _is_retry_useful(self, part: Part) -> bool:
-        """Whether another attempt at a part that is out at ejected replicas alone can come in with any value.
+    def _retry_failed(self, part: Part) -> None:
+        """Make another attempt at a part that is out at ejected replicas alone, if it can come in with any value.
 
         Such a part has failed. What bounds it is what bounds a retry: the attempt cap, the retry budget and the
         effects of its class. The cap on open hedges held such parts back round after round, up to the objective;
@@ -125,12 +144,13 @@
         """
         query = part.query
         has_late_value = query.query_class.late_weight > 0.0
-        return self._can_answer_by(query, query.answer_by if has_late_value else query.objective_at)
+        if self._can_answer_by(query, query.answer_by if has_late_value else query.objective_at):
+            self._send_hedge(part)
 
     def _is_hedge_useful(self, part: Part) -> bool:
-        """Whether a hedge is safe, is the only one, and can come in before the objective."""
+        """Whether a hedge is safe, is the only one, can come in before the objective and lengthens no queues."""
         query = part.query
-        if query.query_class.retry_safety is not api.RetrySafety.IDEMPOTENT:
+        if query.query_class.retry_safety is not api.RetrySafety.IDEMPOTENT or self._is_queueing(part):
             return False
         return len(part.attempts) == 1 and self._can_answer_by(query, query.objective_at)
 
--- a/tests/test_decisions_failed_parts.py
+++ b/tests/test_decisions_failed_parts.py
@@ -185,9 +185,9 @@
 def test_parts_that_are_overdue_go_with_the_ejection_of_their_replica() -> None:
     """One part's missing response takes back what good parts had vouched, the next one's ejects.
 
-    The first had to wait for another hedge delay, of a percentile that its own query's rescued parts had raised:
-    where that had been learned on a starved machine as 0.92 s, ten parts went again after 1.84 s, the last two
-    after 3.31 s of 4 s.
+    The first had to wait for another hedge delay, of a percentile that its own query's rescued parts had
+    raised: where that had been learned on a starved machine as 0.92 s, ten parts went again after 1.84 s, the
+    last two after 3.31 s of 4 s.
     """
     fleet = Fleet()
     fleet.warm_up()
@@ -202,7 +202,7 @@
 
 
 def test_a_retry_that_fails_is_followed_at_once_though_an_ejected_replica_still_holds_the_part() -> None:
-    """Where no connection came up, parts with a retry that was never sent waited for a hedge delay (0.37 s)."""
+    """Where no connection came up, parts whose retry was never sent waited for a hedge delay (0.37 s)."""
     fleet = Fleet()
     fleet.warm_up()
     fleet.silent = tuple(range(10, 16))
