An attempt that never left the process does not count for the attempt cap

Symptom: the hard case of lost answers still failed at times beside heavy load: query refused, replicas idle.

Cause: on a starved machine a retry waits longer for its sender than it may (0.15 s) and ends as never sent; two of these and the silent first attempt made three, all that a part may have, though one replica only had seen one.

Change: the cap counts what left, as the platform does; all tries together end at twice the cap, and from the second one that never left on a part waits its class's median latency for each, so that a process that can send nothing is not kept busy by trying. The retry budget goes on counting them, on the safe side.

--- a/gingervane/decisions/attempt_dispatch.py
+++ b/gingervane/decisions/attempt_dispatch.py
@@ -16,6 +16,10 @@
 from gingervane.decisions.sliding_window import SlidingWindowCount
 from gingervane.decisions.slow_start import SlowStart
 
+# Attempts at a part, also such as never leave, as a multiple of the attempt cap: a process that can send nothing must
+# not be kept busy by trying.
+MAX_TRIES_PER_CAP = 2
+
 
 class AttemptDispatcher:
     """All sends pass `send`; all endings pass `close`."""
@@ -86,7 +90,7 @@
         query = part.query
         if query.settled or part.done or self._context.now >= query.answer_by:
             return False
-        if part.attempts_made >= self._settings.max_attempts or not self._slow_start.may_send(replica):
+        if self._is_at_cap(part) or not self._slow_start.may_send(replica):
             return False
         if part.attempts and not self._settings.hedging_allowed:
             return False
@@ -95,6 +99,12 @@
         is_retry = part.has_failed or not hedged
         return not part.attempts_made or self._retry_budget.allows_further_attempt(not is_retry)
 
+    def _is_at_cap(self, part: Part) -> bool:
+        """Whether a part has had all its attempts. One that never left is none: no replica has seen it."""
+        cap = self._settings.max_attempts
+        sent = part.attempts_made - part.attempts_not_sent
+        return sent >= cap or part.attempts_made >= MAX_TRIES_PER_CAP * cap
+
     def _may_run_again(self, part: Part) -> bool:
         """No effect twice: what may have run goes again if idempotent, or within the window of its key."""
         query_class = part.query.query_class
@@ -118,6 +128,7 @@
         if not requests[attempt.request]:
             del requests[attempt.request]
         attempt.part.attempts.remove(attempt)
+        attempt.part.attempts_not_sent += event.outcome is api.AttemptOutcome.NEVER_SENT
         if event.outcome.never_ran:
             del attempt.part.may_have_run[event.attempt]
         return attempt
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -199,13 +199,23 @@
         part = attempt.part
         if not part.done and event.outcome is api.AttemptOutcome.OK:
             self._receive_part(part, event.latency)
-        elif event.outcome is api.AttemptOutcome.REJECTED and part.attempts_made < self.settings.max_attempts:
-            # Retries at once would storm full queues: the next attempt waits for capacity.
-            median = self.latency.percentile(part.query.arrived.query_class, 0.5)
-            self.context.set_timer(part.attempts_made * median, partial(self._retry, part))
+        elif delay := self._retry_delay(part, event.outcome):
+            self.context.set_timer(delay, partial(self._retry, part))
         else:
             self._retry(part)
 
+    def _retry_delay(self, part: Part, outcome: api.AttemptOutcome) -> float:
+        """Seconds for which a failed part waits for its next attempt.
+
+        Retries at once would storm full queues, and keep a process busy that can send nothing.
+        """
+        waits = 0
+        if outcome is api.AttemptOutcome.REJECTED and part.attempts_made < self.settings.max_attempts:
+            waits = part.attempts_made
+        elif outcome is api.AttemptOutcome.NEVER_SENT and part.attempts_not_sent > 1:
+            waits = part.attempts_not_sent
+        return waits * self.latency.percentile(part.query.arrived.query_class, 0.5)
+
     def _record_health(self, attempt: Attempt, outcome: api.AttemptOutcome) -> None:
         """Let an ending count for or against the replicas concerned."""
         replica = attempt.replica
--- a/gingervane/decisions/query_state.py
+++ b/gingervane/decisions/query_state.py
@@ -33,6 +33,7 @@
     query: Query
     first_sent_at: float
     attempts_made: int = 0
+    attempts_not_sent: int = 0  # of them, those that ended before they left
     attempts: list[Attempt] = field(default_factory=list)  # not ended yet
     tried_replicas: list[KnownReplica] = field(default_factory=list)
     # Send times by number of the attempts that are not proved to have had no effect.
