The rig bounds the time of a part that was read with others by when its reader woke

Change: the first byte wakes the reader; it came no longer before that than the rig stood still at most in the run, which is measured, and 5 ms.

--- a/tests/faults/judge.py
+++ b/tests/faults/judge.py
@@ -16,6 +16,7 @@
 DEADLINE_SLACK = 0.15  # seconds by which a replica may be told more than the client has left
 GRACE = 0.5 + 0.05 + 0.15  # seconds after a node was told that a replica drains or is gone
 TOLD_WITHIN = 6.0  # seconds after discovery had a change and could be reached, by when it counts as told
+WAKE_UP = 0.005  # seconds that a thread of the rig takes to wake up, beside its longest stall
 KILL_CROSSING = 0.05  # seconds by which a client sees the end of a connection before the kill is written down
 
 
@@ -108,10 +109,10 @@
         )
         runs: dict[str, int] = defaultdict(int)
         for seen in self._parts[request.id]:
-            after = seen.earliest - end
+            after = self._earliest(seen) - end
             if after > AFTER_END and not self._was_paused(request.node, end - 0.05, seen.at):
                 self._add("lost", f"{seen.id} sent {after:.3f} s after the end of its request", timed=True)
-            left = request.sent_at + request.timeout - seen.earliest
+            left = request.sent_at + request.timeout - self._earliest(seen)
             held = self._was_paused(request.node, seen.at - 0.2, seen.at)
             if seen.timeout > max(left, 0.0) + DEADLINE_SLACK and not held:
                 what = f"{seen.id} told {seen.timeout:.3f} s, its client has {left:.3f} s left"
@@ -128,6 +129,10 @@
             if ran > 0 and request.status in (429, 503):
                 self._add("duplicate", f"{request.id} refused though {part} may have run")
 
+    def _earliest(self, seen: PartReceived) -> float:
+        """The earliest moment at which a part can have come: its time, where that is exact."""
+        return max(seen.earliest, seen.woke_at - self._ledger.longest_stall - WAKE_UP)
+
     def _was_paused(self, node: int, since: float, until: float) -> bool:
         """Whether a node was stopped at some time in a span."""
         return any(n == node and start < until and end > since for start, end, n in self._ledger.pauses)
@@ -138,7 +143,7 @@
         for change in self._ledger.endpoint_changes:
             changes[change.replica].append(change)
         for seen in self._ledger.parts:
-            before = [change for change in changes[seen.replica] if change.at <= seen.earliest]
+            before = [change for change in changes[seen.replica] if change.at <= self._earliest(seen)]
             if not before or before[-1].health == "SERVING":
                 continue
             first = next(c for c in reversed(before) if c is before[0] or self._serves_before(before, c))
@@ -152,11 +157,14 @@
 
     def _check_drained_part(self, seen: PartReceived, change: EndpointChange) -> None:
         told = self._told_at(seen.node, seen.at, change)
-        if seen.earliest <= told + GRACE:
+        earliest = self._earliest(seen)
+        if earliest <= told + GRACE:
             return
         self.crossings["part to a drained replica"] += 1
         if not self._was_paused(seen.node, told, seen.at):
-            what = f"{seen.id} to replica {seen.replica} {seen.earliest - told:.3f} s after node {seen.node} was told"
+            what = (
+                f"{seen.id} to replica {seen.replica} {earliest - told:.3f} s after node {seen.node} was told"
+            )
             self._add("drain", what, timed=True)
 
     def _told_at(self, node: int, at: float, change: EndpointChange) -> float:
--- a/tests/faults/ledger.py
+++ b/tests/faults/ledger.py
@@ -5,7 +5,7 @@
 
 | record | taken | so a wait can |
 | --- | --- | --- |
-| `PartReceived` | by the kernel; exact for the last of those read at once | hide a late part, not invent one |
+| `PartReceived` | by the kernel; exact for the last of those read at once | hide one that is late by less |
 | `AnswerForwarded` | before the last byte leaves | hide that a node had an answer too soon, which it cannot make up |
 | `ListWritten.at` | after the last byte was handed over | hide a part sent within the wait after the grace |
 | `ListWritten.called_at` | by the kernel, as the call comes | neither |
@@ -29,11 +29,13 @@
 class PartReceived:
     """The last byte of a part's frame came from a node, at `at` or at some time between `earliest` and then.
 
-    `id` as sent, `timeout` in seconds, as it was told.
+    In that case the first byte that was read with it woke the reader at `woke_at`, later only by as long as the rig
+    stood still. `id` as sent, `timeout` in seconds, as it was told.
     """
 
     at: float
     earliest: float
+    woke_at: float
     node: int
     replica: int
     id: str
@@ -132,6 +134,7 @@
     discovery_began_at: float = 0.0  # zero of the clock of discovery's faults
     pauses: list[tuple[float, float, int]] = field(default_factory=list)  # SIGSTOP to SIGCONT, node
     runs: list[NodeRun] = field(default_factory=list)
+    longest_stall: float = 0.0  # seconds for which the rig stood still at most
     _lock: Lock = field(default_factory=Lock)
 
     def record(self, record: PartReceived | AnswerForwarded | Request | ListWritten) -> None:
--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -168,11 +168,18 @@
                 return
             for part, shard, words, _ in parse_call(frame.rest):
                 wait = int(words["d"]) / 1000
-                self._ledger.record(
-                    PartReceived(
-                        frame.at, frame.earliest, self._node, self._replica, part, shard, wait, words
-                    )
+                part_received = PartReceived(
+                    frame.at,
+                    frame.earliest,
+                    frame.woke_at,
+                    self._node,
+                    self._replica,
+                    part,
+                    shard,
+                    wait,
+                    words,
                 )
+                self._ledger.record(part_received)
 
         return TimedFrameParser(call).feed
 
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -101,6 +101,7 @@
         with StallMeter() as meter:
             _Play(plan, nodes, replicas, discovery, ledger).run()
         early = [f"n{n.number}" for n in nodes if n.process.poll() is not None and not n.ending]
+        ledger.longest_stall = meter.longest
         result = _judge(plan, ledger, early, stolen_share(before, processor_times()))
         result.longest_stall = meter.longest
         result.owed = OwedAnswers(plan, ledger).owed
--- a/tests/faults/timed_frames.py
+++ b/tests/faults/timed_frames.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import struct
 import time
@@ -16,13 +17,14 @@
 class Arrival(NamedTuple):
     """Bytes that were read at once. Times: the monotonic clock.
 
-    `at`: when the last of them came. `earliest`: the others came after that; the kernel keeps one time for what it
-    joins, so that nothing more is known of them.
+    `at`: when the last of them came. The kernel keeps one time for what it joins, so that of the others is known only
+    that nothing had come by `earliest`, and that the first woke the reader at `woke_at` at the latest.
     """
 
     data: bytes
     at: float
     earliest: float
+    woke_at: float
 
 
 def _offset() -> float:
@@ -57,6 +59,8 @@
     def __init__(self, sock: socket.socket) -> None:
         stamp(sock)
         self._sock = sock
+        self._poll = select.poll()
+        self._poll.register(sock, select.POLLIN)
         self._last_at = time.monotonic()
 
     def receive(self) -> Arrival:
@@ -64,12 +68,13 @@
         asked_at = time.monotonic()
         try:
             data, at = receive(self._sock, flags=socket.MSG_DONTWAIT)
-            earliest = self._last_at
+            earliest = woke_at = self._last_at
         except BlockingIOError:  # nothing had come by then
+            self._poll.poll()
+            earliest, woke_at = asked_at, time.monotonic()
             data, at = receive(self._sock)
-            earliest = asked_at
         self._last_at = at
-        return Arrival(data, at, min(earliest, at))
+        return Arrival(data, at, min(earliest, at), min(woke_at, at))
 
 
 class FrameParser:
@@ -96,12 +101,13 @@
 
 
 class TimedFrame(NamedTuple):
-    """One frame. It came at `at`, or no one knows when between `earliest` and then."""
+    """One frame. It came at `at`, or no one knows when between `earliest` and then; see `Arrival`."""
 
     letter: bytes
     rest: bytes
     at: float
     earliest: float
+    woke_at: float
 
 
 class TimedFrameParser:
@@ -110,7 +116,7 @@
     def __init__(self, take: Callable[[TimedFrame], None]) -> None:
         self._take = take
         self._parser = FrameParser(self._frame)
-        self._arrival = Arrival(b"", 0.0, 0.0)
+        self._arrival = Arrival(b"", 0.0, 0.0, 0.0)
 
     def feed(self, arrival: Arrival) -> None:
         """Take what was read at once."""
@@ -118,6 +124,7 @@
         self._parser.feed(arrival.data)
 
     def _frame(self, letter: bytes, rest: bytes) -> None:
-        at = self._arrival.at
-        earliest = at if self._parser.is_empty else self._arrival.earliest
-        self._take(TimedFrame(letter, rest, at, earliest))
+        _, at, earliest, woke_at = self._arrival
+        if self._parser.is_empty:
+            earliest = woke_at = at
+        self._take(TimedFrame(letter, rest, at, earliest, woke_at))
--- a/tests/test_fault_rig.py
+++ b/tests/test_fault_rig.py
@@ -217,6 +217,13 @@
     near.sendall(frame(b"third"))
     parser.feed(receiver.receive())
     assert frames[2].earliest == frames[2].at, "alone in what was read"
+    waiter = threading.Thread(target=lambda: parser.feed(receiver.receive()))
+    waiter.start()
+    eventually(lambda: time.monotonic() > second_sent + GAP)  # the reader waits
+    sent_at = time.monotonic()
+    near.sendall(frame(b"fourth") + frame(b"fifth"))
+    waiter.join(10.0)
+    assert frames[3].woke_at >= sent_at > frames[3].earliest, "it slept until the first of them came"
     for sock in (near, far, listener):
         sock.close()
 
