Two fields of the order of reports are laid out for readers

The formatter had broken their comments over several lines; the comments stand above the fields now.

--- a/gingervane/membership/consul_polling.py
+++ b/gingervane/membership/consul_polling.py
@@ -73,9 +73,7 @@
         self._unchanged_answers = 0  # in a row, that came early and changed nothing
         self._entry_count = 0
         self._lagging_answers = 0  # in a row
-        self._failed_vouchings = (
-            0  # in a row: the leader was to be asked of a lagging answer, and could not be
-        )
+        self._failed_vouchings = 0  # in a row: requests to the leader that failed
 
     @property
     def wait(self) -> float:
--- a/gingervane/membership/source_ordering.py
+++ b/gingervane/membership/source_ordering.py
@@ -48,12 +48,10 @@
 
     latest_valid_from: float = -inf  # the time from which its newest report holds
     index: int = 0
-    pending: SourceReport | None = (
-        None  # with a lower index: the newest, of those vouched for if there are any
-    )
-    pending_successor: SourceReport | None = (
-        None  # the newest that came behind one vouched for, and counts with it
-    )
+    # A report with a lower index: the newest, of those vouched for if there are any.
+    pending: SourceReport | None = None
+    # The newest that came behind one vouched for, and counts with it.
+    pending_successor: SourceReport | None = None
     pending_since: float = inf  # when the first of those came
     pending_consistent: bool = False
     doubt_reported: bool = False  # that no leader has vouched for the pending one
