Review, case 4 for now: hundreds of heads without end hold up the usual requests

Looked for: other ways in which one client's requests delay another's past its time.

A bad client sends 300 heads without end, of many short lines, and the same again as soon as it is turned away; the node has 1,024 descriptors, so that none is refused for its number.

One head took 15 ms in the reader alone.

--- a/review/standins/bad_client.py
+++ b/review/standins/bad_client.py
@@ -1,6 +1,7 @@
 """A bad client: hundreds of requests at once, and the same again as soon as it is turned away.
 
-Arguments: port, connections, seconds. Each request names one shard twice. It reads whatever is sent to it, at full
+Arguments: port, connections, seconds, kind. Kind `twice`: each request names one shard twice; kind `head`: each is a
+head without end, of which it sends 20 KB unless it is turned away before. It reads whatever is sent to it, at full
 speed; where its connection ends it opens the next. At its end it prints what it sent and what it read.
 """
 
@@ -14,6 +15,13 @@
 import time
 
 
+def endless_head(number: int) -> bytes:
+    lines = "".join(f"h{line % 10}:{line % 7}\r\n" for line in range(3400))
+    return (
+        f"POST /point-lookup HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: bad{number}\r\n{lines}".encode()
+    )
+
+
 def request(number: int) -> bytes:
     tablets = [{"tablet": 0, "fraction": 0.5}, {"tablet": 0, "fraction": 0.5}]
     body = json.dumps({"tablets": tablets, "statement": "c41e77d0"}).encode()
@@ -26,6 +34,7 @@
 
 def main() -> None:
     port, connections, seconds = int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])
+    make = {"twice": request, "head": endless_head}[sys.argv[4]]
     poll = select.epoll()
     open_sockets: dict[int, socket.socket] = {}
     sent = 0
@@ -38,7 +47,7 @@
         sock.settimeout(1.0)
         try:
             sock.connect(("127.0.0.1", port))
-            sock.sendall(request(sent))
+            sock.sendall(make(sent))
         except OSError:
             sock.close()
             return
@@ -62,7 +71,7 @@
                 status = data[9:12].decode("latin-1")
                 answers[status] = answers.get(status, 0) + 1
                 try:
-                    sock.sendall(request(sent))
+                    sock.sendall(make(sent))
                     sent += 1
                 except OSError:
                     data = b""
