--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,14 +1,13 @@
-"""Case 3: a replica that was removed proves by its answers that it was not, while discovery refuses calls."""
+"""Case 3: after a new configuration, a connection to discovery that falls silent is never replaced."""
 
 from __future__ import annotations
 
-import http.client
 import socket
 import sys
 import threading
 import time
 from pathlib import Path
-from signal import SIGTERM
+from signal import SIGHUP, SIGTERM
 from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
@@ -17,6 +16,7 @@
     Discovery,
     Node,
     Record,
+    Relay,
     Replica,
     free_port,
     now,
@@ -25,13 +25,13 @@
     run_case,
 )
 
-DRAIN_GRACE = 0.25  # Rules.StopSendingWithinS
+DRAIN_GRACE = 0.5  # Rules.StopSendingWithinS
 SOCKET_SLACK = 0.05  # "every time limit is 50 ms longer"
-TOLD_WITHIN = 6.0  # after discovery had the change and could be reached
-CROWDED_FOR = 12.0
-RUN_UNTIL = 18.0
-CLIENTS = 2
-QUERIES_PER_SECOND = 8  # of each client
+TOLD_WITHIN = 6.0  # after the silence, and after discovery had the change and could be reached
+TOLD_AFTER_SIGHUP = 4.0
+SILENCE = 1.0  # seconds after SIGHUP in which a new connection to discovery falls silent
+RUN_UNTIL = 60.0
+QUERIES_PER_SECOND = 8
 
 SETTINGS: dict[str, Any] = {
     "Balancers": 3,
@@ -39,12 +39,12 @@
     "Ordinal": 0,
     "GranularityS": 0.005,
     "MembershipMode": "ask",
-    "Zones": ["athens-a", "athens-b", "thessaloniki"],
+    "Zones": ["hall-a", "hall-b", "hall-c"],
     "Classes": [
         {
-            "Name": "hut-nights",
-            "AimS": 1.0,
-            "DeadlineS": 2.5,
+            "Name": "point-lookup",
+            "AimS": 2.0,
+            "DeadlineS": 6.0,
             "Semantics": "safe",
             "LateWorth": 0.3,
             "WindowS": 5.0,
@@ -55,48 +55,48 @@
         "MinShare": [1.0],
         "WholeAt": [1.0],
         "ShortWorth": [0.9],
-        "PerCall": 8,
+        "PerCall": 1,
         "Sets": 4,
         "Shards": 8,
         "Width": 3,
-        "OverheadS": 0.017,
-        "WarmKeys": True,
+        "OverheadS": 0.0,
+        "WarmKeys": False,
     },
     "Limits": {
         "Cancelling": True,
         "ConnIdleS": 15.0,
         "ConnectTimeoutS": 0.25,
-        "MaxRetryAfterS": 2.0,
+        "MaxRetryAfterS": 0.5,
         "MostHeld": 109,
-        "Peers": False,
+        "Peers": True,
         "Probing": True,
         "RetryAfter": True,
         "SecondCopies": True,
-        "SendCap": 4,
-        "StreamsPerConn": 100,
+        "SendCap": 3,
+        "StreamsPerConn": 32,
     },
     "Rules": {
         "AskWithinS": 10.0,
-        "FallS": 1.0,
+        "FallS": 1.5,
         "GraceToAnswerS": 0.02,
-        "RampTimeS": 17.0,
-        "StartCapacity": 0.22,
+        "RampTimeS": 16.0,
+        "StartCapacity": 0.17,
         "StopSendingWithinS": DRAIN_GRACE,
-        "TipMultiple": 2.5,
+        "TipMultiple": 4.0,
     },
 }
 
 
-def ask(port: int, record: Record, answers: list[int], client: int) -> None:
+def ask(port: int, record: Record, answers: list[int]) -> None:
     """A client with one connection that asks a query, waits for its answer, and asks again, to the end."""
     sock = socket.create_connection(("127.0.0.1", port))
     data = bytearray()
     number = 0
     while now() < RUN_UNTIL:
         number += 1
-        name = f"{client:08x}{number:08x}"
+        name = f"{number:016x}"
         record(f"client: asks {name}")
-        sock.sendall(query_bytes(name, "/hut-nights", [number % 8, (number + 3) % 8], 2500))
+        sock.sendall(query_bytes(name, "/point-lookup", [number % 8, (number + 3) % 8], 6000))
         status, body = read_answer(sock, data)
         record(f"client: {name} answered {status} {body.decode().strip()[:120]}")
         answers.append(status)
@@ -105,30 +105,27 @@
         time.sleep(1 / QUERIES_PER_SECOND)
 
 
-def call_as_another(discovery: Discovery) -> bool:
-    """Ask discovery for its whole list, as another co-ordinator does; return whether it answered."""
-    connection = http.client.HTTPConnection("127.0.0.1", discovery.port, timeout=2.0)
-    try:
-        connection.request("GET", "/v1/endpoints")
-        return connection.getresponse().status == 200
-    except (OSError, http.client.HTTPException):
-        return False
-    finally:
-        connection.close()
-
-
 def case(folder: Path, record: Record, trouble: bool) -> int:
     replicas = [Replica(f"s-{block:08x}", block, record) for block in range(4)]
-    gone = replicas[1]
+    gone, draining = replicas[1], replicas[3]
     entries = [replica.entry() for replica in replicas]
-    discovery = Discovery("discovery", entries, record)
+    old = Discovery("old", entries, record)
+    new = Discovery("new", entries, record)
+    relay = Relay(new.port, record)
     port = free_port()
+    peers = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
+    for peer in peers:
+        peer.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{peer.getsockname()[1]}" for peer in peers]
+    peers[0].close()  # the node's own; the two others say nothing
     config = {
         "name": "n0",
         "listen": f"127.0.0.1:{port}",
-        "discovery": discovery.address,
+        "discovery": old.address,
         "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+        "peer_listen": addresses[0],
+        "peers": addresses,
         "known": {"seq": 41, "whole": True, "hosts": entries},
         "settings": SETTINGS,
     }
@@ -137,29 +134,38 @@
         if not node.wait_ready():
             return 2
         answers: list[int] = []
-        for number in range(CLIENTS):
-            threading.Thread(target=ask, args=(port, record, answers, number), daemon=True).start()
-        time.sleep(3.0)
-        discovery.crowded = trouble
-        discovery.reset_watches()
-        changed_at = discovery.change(gone.entry("DELETED"))
-        limit = changed_at + TOLD_WITHIN + DRAIN_GRACE + SOCKET_SLACK
-        record(f"judge: the change counts as told at {changed_at + TOLD_WITHIN:.3f}")
-        record(f"judge: nothing new may arrive after {limit:.3f}")
-        reached = 0
-        while now() < changed_at + CROWDED_FOR:
-            reached += call_as_another(discovery)
-            time.sleep(1.0)
-        record(f"judge: discovery answered {reached} calls of another caller meanwhile")
-        discovery.crowded = False
+        threading.Thread(target=ask, args=(port, record, answers), daemon=True).start()
+        time.sleep(4.0)
+        # The operator moves discovery. With the disruption, what is opened in the first second falls silent.
+        relay.mute = trouble
+        node.write_config({**config, "discovery": relay.address})
+        node.signal(SIGHUP)
+        sighup_at = now()
+        threading.Thread(target=old.close, daemon=True).start()
+        time.sleep(SILENCE)
+        relay.mute = False
+        record("relay: whatever is opened from now on is relayed")
+        time.sleep(1.5)
+        changed_at = new.change(gone.entry("DELETED"), draining.entry("DRAINING"))
+        time.sleep(0.1)  # what was written reaches the node; well within the grace
+        draining.draining = True
+        silent_at = relay.muted_at[-1] if relay.muted_at else sighup_at
+        told_at = max(sighup_at + TOLD_AFTER_SIGHUP, silent_at + TOLD_WITHIN, changed_at + TOLD_WITHIN)
+        limit = told_at + DRAIN_GRACE + SOCKET_SLACK
+        record(f"judge: the change counts as told at {told_at:.3f}; nothing new may arrive after {limit:.3f}")
         time.sleep(max(RUN_UNTIL - now(), 0.0))
-        late = [at for at, _, _ in gone.parts if at > limit]
-        if len(answers) < 100 or answers.count(200) < len(answers) // 2 or reached < CROWDED_FOR // 2:
-            record(f"judge: too few answers to judge: {len(answers)}, {reached} of discovery")
+        late = [(at, part, r.name) for r in (gone, draining) for at, part, _ in r.parts if at > limit]
+        if trouble and not relay.muted_at:
+            record("judge: no connection was opened while the relay was silent")
+            return 2
+        if len(answers) < 100 or answers.count(200) < len(answers) // 2:
+            record(f"judge: too few answers to judge: {len(answers)}")
             return 2
         record(f"judge: {len(answers)} queries were answered, {answers.count(200)} with 200")
-        last = f", the last at {max(late):.3f}" if late else ""
-        record(f"judge: {len(late)} parts arrived at {gone.name} too late{last}")
+        for name in (gone.name, draining.name):
+            times = [at for at, _, replica in late if replica == name]
+            last = f", the last at {max(times):.3f}" if times else ""
+            record(f"judge: {len(times)} parts arrived at {name} too late{last}")
         return 1 if late else 0
     finally:
         node.signal(SIGTERM)
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -27,7 +27,6 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 START = time.monotonic()
-QUEUE_TIMEOUT = 1.0  # seconds that a call waits in a crowded discovery, `timeout_ms` of the sites
 
 
 def now() -> float:
@@ -130,7 +129,6 @@
         self._lock = threading.Lock()
         self._watches: list[socket.socket] = []
         self._closed = False
-        self.crowded = False  # calls for a watch wait in a queue that is too long, and fail
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=32)
         self.port: int = self._listener.getsockname()[1]
         self.address = f"127.0.0.1:{self.port}"
@@ -155,15 +153,6 @@
                 head += received
             target = head.split()[1].decode()
             self.record(f"discovery {self.name}: call {target}")
-            if "follow" not in target:
-                self._answer_once(sock)
-                return
-            if self.crowded:
-                time.sleep(QUEUE_TIMEOUT)
-                sock.sendall(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
-                sock.close()
-                self.record(f"discovery {self.name}: call refused with 503, it waited too long")
-                return
             with self._lock:
                 sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                 whole = {"seq": self._seq, "whole": True, "hosts": list(self._entries.values())}
@@ -171,24 +160,6 @@
                 self._watches.append(sock)
                 self.record(f"discovery {self.name}: whole list {self._seq} written")
 
-    def _answer_once(self, sock: socket.socket) -> None:
-        """Answer a call for the whole list."""
-        with self._lock:
-            whole = {"seq": self._seq, "whole": True, "hosts": list(self._entries.values())}
-        body = json.dumps(whole).encode()
-        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-        sock.close()
-        self.record(f"discovery {self.name}: whole list {whole['seq']} written to another caller")
-
-    def reset_watches(self) -> None:
-        """Reset all open watches."""
-        with self._lock:
-            for sock in self._watches:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                sock.close()
-            self._watches = []
-            self.record(f"discovery {self.name}: all open watches are reset")
-
     def change(self, *entries: dict[str, Any]) -> float:
         """Make one change; return when it was made."""
         with self._lock:
