--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -101,6 +101,10 @@
         """Report that the endpoint list's watch ended or stalled, `seconds_without_data` after its last line."""
         self._inbox.put([t.WatchInterrupted(seconds_without_data)])
 
+    def discovery_address_changed(self, seconds_without_data: float) -> None:
+        """Report a new address of discovery, `seconds_without_data` after the last line of a watch."""
+        self._inbox.put([t.DiscoveryAddressChanged(seconds_without_data)])
+
     def peer_message_received(self, sender: int, payload: bytes) -> None:
         """Report a message from another co-ordinator. Messages may be lost: a full inbox drops them."""
         if self._inbox.qsize() < MAX_INPUTS:
--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -122,7 +122,7 @@
     # ---- from inputs to events
 
     def _take_endpoints(self, inputs: Sequence[t.Input], turn: _Turn) -> list[api.Event]:
-        """Take endpoint lists and interruptions of their watch, in order of arrival."""
+        """Take endpoint lists, interruptions of their watch and changes of address, in order of arrival."""
         events: list[api.Event] = []
         for item in inputs:
             match item:
@@ -132,6 +132,8 @@
                     events += self._withdraw_replicas(item.membership, turn)
                 case t.WatchInterrupted(seconds_without_data):
                     events.append(api.WatchInterrupted(seconds_without_data))
+                case t.DiscoveryAddressChanged(seconds_without_data):
+                    events.append(api.DiscoveryAddressChanged(seconds_without_data))
         return events
 
     def _withdraw_replicas(self, membership: api.MembershipChanged, turn: _Turn) -> list[api.Event]:
--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -180,6 +180,12 @@
     seconds_without_data: float
 
 
+class DiscoveryAddressChanged(NamedTuple):
+    """Discovery has another address, `seconds_without_data` after the last line of a watch at a previous one."""
+
+    seconds_without_data: float
+
+
 class Shutdown(NamedTuple):
     """Complete all open queries: reject those that a client may safely retry, fail the others."""
 
@@ -197,6 +203,7 @@
     | ClientDisconnected
     | EndpointsUpdated
     | WatchInterrupted
+    | DiscoveryAddressChanged
     | Shutdown
     | PeerMessageReceived
 )
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -89,6 +89,7 @@
         """Handlers by event type. Health checks have none, as the engine does not request them."""
         return {
             api.AttemptEnded: self._on_attempt_ended,
+            api.DiscoveryAddressChanged: self.membership.watch.on_address_change,
             api.MembershipChanged: self._drain_reports.on_membership,
             api.PartArrived: self._on_part_arrived,
             api.PeerMessageReceived: self._on_peer_message,
--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -138,16 +138,21 @@
         """Process the end of a watch, or that no data was received on it."""
         self.record_failure(event.seconds_without_data)
 
+    def on_address_change(self, event: api.DiscoveryAddressChanged) -> None:
+        """Process a new address of discovery: the watch has ended, and no backoff applies to the new address."""
+        self._record_loss(event.seconds_without_data)
+        self._backoff = INITIAL_BACKOFF
+        self.request_updates()
+
     def record_failure(self, seconds_without_data: float = 0.0) -> None:
         """Record a failed call, or a watch that received no data for `seconds_without_data`, and call again."""
-        if self._phase is WatchPhase.UP:
-            self._last_current_at = self._context.now - seconds_without_data
-        self._phase = WatchPhase.DOWN
+        self._record_loss(seconds_without_data)
         if self._retry_pending:
             return
         self._retry_pending = True
         jitter = self._context.random.uniform(MIN_JITTER, MAX_JITTER)
-        self._context.set_timer(min(self._backoff, self._max_backoff()) * jitter, self.request_updates)
+        delay = min(self._backoff, self._max_backoff()) * jitter
+        self._context.set_timer(delay, partial(self._retry_failed_call, self._calls_made))
         self._backoff = min(BACKOFF_GROWTH * self._backoff, MAX_BACKOFF)
         if self._polled:
             self._backoff = max(self._backoff, self._overloaded_backoff)
@@ -191,6 +196,17 @@
         """Time until which no unknown change of the replica can count as notified."""
         return max(self._list_current_at(), replica.last_served_send_at) + self._notified_within
 
+    def _record_loss(self, seconds_without_data: float) -> None:
+        """Record that there is no watch, and until when the list was current if there was one."""
+        if self._phase is WatchPhase.UP:
+            self._last_current_at = self._context.now - seconds_without_data
+        self._phase = WatchPhase.DOWN
+
+    def _retry_failed_call(self, call: int) -> None:
+        """Make a further call, unless one was made since the failure."""
+        if call == self._calls_made:
+            self.request_updates()
+
     def _hedge_unanswered_call(self, call: int) -> None:
         """Make a further call if the last one is still without an answer."""
         if call == self._calls_made and self._phase is not WatchPhase.UP and not self._retry_pending:
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -166,6 +166,15 @@
     seconds_without_data: float
 
 
+class DiscoveryAddressChanged(NamedTuple):
+    """The host's discovery has another address, and its calls at the previous one have ended.
+
+    `seconds_without_data`: since the last data of a watch. The host makes no call until one is requested.
+    """
+
+    seconds_without_data: float
+
+
 class QueryArrived(NamedTuple):
     """A query; `part_count` parts follow in the same batch."""
 
@@ -229,6 +238,7 @@
 Event = (
     MembershipChanged
     | WatchInterrupted
+    | DiscoveryAddressChanged
     | QueryArrived
     | PartArrived
     | AttemptEnded
--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -51,6 +51,9 @@
     def watch_interrupted(self, seconds_without_data: float) -> None:
         """Receive the report that the watch ended or stalled, `seconds_without_data` after its last line."""
 
+    def discovery_address_changed(self, seconds_without_data: float) -> None:
+        """Receive the report that all calls are interrupted, as discovery has another address."""
+
 
 class DiscoveryWatch:
     """Watches discovery from `start` to `stop`."""
@@ -71,7 +74,6 @@
         self._workers = 0  # threads
         self._idle_workers = 0  # threads that wait for a call to make
         self._call_requested = False
-        self._address_changed = False
         self._version_reset_pending = False  # the address has changed, and no call has begun since
         self._stopped = False
         self._retry_pending = False  # a failure was reported; the decision engine will request a call
@@ -99,19 +101,17 @@
             self._start_worker()
 
     def change_address(self, address: Address) -> None:
-        """Watch discovery at another address from now on, without waiting for a running backoff."""
+        """Interrupt all calls; those requested from now on are made to another address."""
         with self._change:
             if address == self._address:
                 return
             self._address = address
-            self._address_changed = True
             self._version_reset_pending = True
+            self._call_requested = False  # the report below leads to a request
             for call in self._calls:
                 call.interrupt(CallEnd.ADDRESS_CHANGED)
-            needs_worker = self._reserve_worker()
-            self._change.notify_all()  # not `notify`: a call that is beginning might take the only wake-up
-        if needs_worker:
-            self._start_worker()
+            self._update_state(CallEnd.ADDRESS_CHANGED.value)
+            self._sink.discovery_address_changed(time.monotonic() - self._last_line_at)
 
     def stop(self) -> None:
         """Interrupt all calls and make no more."""
@@ -158,13 +158,12 @@
         """Wait until a call is requested, and return it; None once the watch is stopped."""
         with self._change:
             self._idle_workers += 1
-            while not (self._call_requested or self._address_changed or self._stopped):
+            while not (self._call_requested or self._stopped):
                 self._change.wait()
             self._idle_workers -= 1
             if self._stopped:
                 return None
             self._call_requested = False
-            self._address_changed = False
             self._call_count += 1
             call = DiscoveryCall(CallProgress(self._call_count, self._address), self)
             self._calls.append(call)
--- a/tests/recordings/codec.py
+++ b/tests/recordings/codec.py
@@ -51,6 +51,7 @@
     api.ReplicaEjected,
     api.ReplicaReinstated,
     api.WatchInterrupted,
+    api.DiscoveryAddressChanged,
 )
 ENUMERATIONS: tuple[type[Enum], ...] = (
     api.RetrySafety,
--- a/tests/recordings/scenarios.py
+++ b/tests/recordings/scenarios.py
@@ -407,6 +407,21 @@
             failed_watch_calls=24,
         ),
     )
+    yield (
+        "discovery-moves",
+        Scenario(
+            SETTINGS._replace(membership_polled=True, drain_grace=0.5),
+            (steady(1.0, 29.0),),
+            (listed(0.0, CACHED, *three),),
+            other_events=(
+                (5.0, api.DiscoveryAddressChanged(0.5)),
+                (12.0, api.WatchInterrupted(2.5)),
+                (12.05, api.DiscoveryAddressChanged(2.55)),
+            ),
+            duration=30.0,
+            failed_watch_calls=12,
+        ),
+    )
     yield (
         "breakers",
         Scenario(
--- a/tests/test_decisions_membership.py
+++ b/tests/test_decisions_membership.py
@@ -167,6 +167,43 @@
     assert max(later - earlier for earlier, later in pairwise(times)) < 0.6 * grace
 
 
+# Guards against a call at discovery's new address that the decisions neither requested nor watched.
+@pytest.mark.parametrize("polled", [True, False])
+def test_an_address_change_requests_a_call_at_once_and_further_ones(polled: bool) -> None:
+    settings = BASE._replace(membership_polled=polled, drain_grace=0.5)
+    host = Host(settings, watch_options=NODE_WATCH)
+    host.update_membership(MembershipUpdateKind.DELTA)
+    actions = host.feed(api.DiscoveryAddressChanged(0.4))
+    assert actions.count(api.WatchMembership()) == 1 and not host.engine.membership.watch.is_up
+    assert len(watch_request_times(host, 3.5)) >= 2
+    host.update_membership(MembershipUpdateKind.DELTA)
+    assert not watch_request_times(host, 5.0), "no call while the watch is up"
+
+
+# Guards against the retry of a failure at the old address, which would call the new one a second time.
+def test_a_backoff_that_runs_at_an_address_change_makes_no_further_call() -> None:
+    host = Host(BASE._replace(membership_polled=True), watch_options=NODE_WATCH)
+    host.update_membership(MembershipUpdateKind.DELTA)
+    host.feed(api.WatchInterrupted(0.0))
+    assert api.WatchMembership() in host.feed(api.DiscoveryAddressChanged(0.1))
+    assert not watch_request_times(host, 1.0)
+
+
+# Guards against a list that counts as current for as long as no call at the new address fails.
+def test_leases_run_from_the_last_line_of_the_previous_address() -> None:
+    host = Host(BASE._replace(membership_polled=True), watch_options=NODE_WATCH)
+    host.update_membership(MembershipUpdateKind.FULL, replica(10, zone=0))
+    host.wait(20.0)
+    watch, known_replica = host.engine.membership.watch, host.engine.membership.replicas[10]
+    host.feed(api.DiscoveryAddressChanged(2.0))
+    host.wait(NOTIFIED_WITHIN - 2.0 - 0.1)
+    host.feed()
+    assert not watch.is_lease_expired(known_replica)
+    host.wait(0.2)
+    host.feed()
+    assert watch.is_lease_expired(known_replica)
+
+
 def test_while_the_watch_is_down_a_replica_is_trusted_until_its_lease_expires() -> None:
     """A list of any age was used as if it were current."""
     host = Host(BASE._replace(membership_polled=True), watch_options=NODE_WATCH)
--- a/tests/test_json_values.py
+++ b/tests/test_json_values.py
@@ -53,6 +53,7 @@
         self.updates, self.log = MembershipRecorder(), RecordedLog()
         reader = EndpointListReader(("a",), ReplicaStartTimes(), self.log)
         self.watch = DiscoveryWatch(parse_address(address, "discovery"), reader, self.updates, self.log)
+        self.updates.request_watch = self.watch.request_watch
         self.watch.start()
         self.watch.request_watch()
 
--- /dev/null
+++ b/tests/test_unanswered_discovery_calls.py
@@ -0,0 +1,133 @@
+"""Calls to discovery that nobody answers: another call has to follow, whatever made the first one.
+
+A node runs against a discovery that this file scripts. The connections that are named silent stay open for
+the whole test, so that only a further call brings the list.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from platform_fakes import (
+    HEAD,
+    SETTINGS,
+    Platform,
+    Replica,
+    ScriptedDiscovery,
+    chunk,
+    host,
+    line,
+    wait_until,
+)
+
+PUSH_SETTINGS = SETTINGS | {
+    "MembershipMode": "push",
+    "Rules": SETTINGS["Rules"] | {"StopSendingWithinS": 0.5},
+}
+SETTINGS_BY_MODE: dict[str, Any] = {"asked": SETTINGS, "pushed": PUSH_SETTINGS}
+QUERIES = 10
+
+
+def send_cut_list(sock: socket.socket) -> None:
+    """Send the first half of a list."""
+    data = HEAD + chunk(line(1))
+    sock.sendall(data[: len(data) - 8])
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    sock.close()
+
+
+# What discovery does with a call before it falls silent.
+SILENCES: dict[str, Callable[[socket.socket], None]] = {
+    "nothing": lambda sock: None,
+    "its head alone": lambda sock: sock.sendall(HEAD),
+    "half of a list": send_cut_list,
+}
+
+
+class Deployment:
+    """A node, two replicas that hold all shards, and two discoveries, the first of which the node calls first."""
+
+    def __init__(self, folder: Path, mode: str) -> None:
+        self.first, self.second = ScriptedDiscovery(), ScriptedDiscovery()
+        self.removed, self.kept = Replica(0), Replica(0)
+        self.platform = Platform(
+            folder, self.removed, self.kept, settings=SETTINGS_BY_MODE[mode], where=self.first.where
+        )
+
+    def move(self, discovery: ScriptedDiscovery) -> None:
+        """Give the node a new configuration, in which discovery has another address."""
+        self.platform.configure(f"{discovery.where[0]}:{discovery.where[1]}")
+        self.platform.node.reload()
+
+    def list_both(self, sock: socket.socket) -> None:
+        """Answer a call with a list of both replicas, and wait until the watch is up."""
+        sock.sendall(HEAD + chunk(line(40, host(self.removed), host(self.kept))))
+        watch = self.platform.node.watch
+        wait_until(watch._has_watch, "the first list was read")
+
+    def assert_removal_is_learnt(self, sock: socket.socket) -> None:
+        """Answer a call with a list without one replica, and check that it is sent nothing from then on."""
+        sock.sendall(HEAD + chunk(line(41, host(self.kept))))
+        reader = self.platform.node.watch._reader
+        wait_until(lambda: reader.version == 41, "the list without the removed replica was read")
+        before = len(self.removed.parts.items)
+        for number in range(QUERIES):
+            assert self.platform.ask(f"q{number}", {0: 1.0})[0] == 200
+        assert len(self.removed.parts.items) == before
+
+    def close(self) -> None:
+        self.first.close()
+        self.second.close()
+        self.platform.close()
+
+
+@pytest.fixture(params=SETTINGS_BY_MODE)
+def deployment(tmp_path: Path, request: pytest.FixtureRequest) -> Iterator[Deployment]:
+    created = Deployment(tmp_path, request.param)
+    yield created
+    created.close()
+
+
+# Guards against a first call after SIGHUP that nothing watches: a removed replica got parts to the end.
+@pytest.mark.parametrize("silence", SILENCES)
+def test_a_silent_first_call_after_a_change_of_address_is_followed_by_another(
+    deployment: Deployment, silence: str
+) -> None:
+    deployment.list_both(deployment.first.sock(1))
+    deployment.move(deployment.second)
+    SILENCES[silence](deployment.second.sock(1))
+    deployment.assert_removal_is_learnt(deployment.second.sock(2))
+
+
+# Guards against a further call that is made once only: the second may meet the same silence.
+def test_two_silent_calls_after_a_change_of_address_are_followed_by_a_third(deployment: Deployment) -> None:
+    deployment.list_both(deployment.first.sock(1))
+    deployment.move(deployment.second)
+    deployment.second.sock(2)
+    deployment.assert_removal_is_learnt(deployment.second.sock(3))
+
+
+# Guards against a second SIGHUP that ends the first's calls and leaves its own without a further call.
+def test_two_changes_of_address_that_both_meet_silence(deployment: Deployment) -> None:
+    deployment.list_both(deployment.first.sock(1))
+    deployment.move(deployment.second)
+    deployment.second.sock(1)
+    deployment.move(deployment.first)
+    deployment.first.sock(2)
+    deployment.assert_removal_is_learnt(deployment.first.sock(3))
+
+
+# Guards against a failed call after SIGHUP whose retry is made without a further call beside it.
+def test_a_reset_call_after_a_change_of_address_and_then_a_silent_one(deployment: Deployment) -> None:
+    deployment.list_both(deployment.first.sock(1))
+    deployment.move(deployment.second)
+    reset(deployment.second.sock(1))
+    deployment.second.sock(2)
+    deployment.assert_removal_is_learnt(deployment.second.sock(3))
