--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -63,6 +63,7 @@
 
     def start(self) -> None:
         """Start the decision thread. Endpoint lists and queries received earlier are waiting in the inbox."""
+        self._inbox.put([])  # the first turn does not wait for inputs
         self._thread = start_thread(self._run, "decisions")
 
     @property
--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -109,7 +109,7 @@
         events += self._take_deferred_events()
         events += self._take_inputs(inputs, turn)
         events += self._take_due_timers(turn)
-        if events:
+        if events or self.counts.batches == 1:  # the engine may have actions at its start
             self._execute(self._engine.handle(now, events), turn)
         for query_id, completion in turn.completions.items():
             self._complete_query(now, query_id, completion, turn.effects)
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -104,8 +104,8 @@
         self.context.begin(now, events)
         self._selector.begin_batch()
         self._dispatcher.begin_batch()
-        if self.context.batch == 1 and self.settings.membership_polled:
-            self.membership.watch.request_updates()
+        if self.context.batch == 1:
+            self.membership.watch.start()
         # Events received during a pause of this process are handled before any timer. Otherwise replicas that have
         # answered would count as unresponsive.
         for event in sorted(events, key=_is_timer):
--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -78,10 +78,12 @@
 
     `parallel_calls`: number of calls to discovery that can be waiting at once. `notified_within`: seconds after which
     a change counts as notified, received or not, from when discovery had it and could be reached.
+    `pushed_on_request`: whether pushed lists, too, are received only after a request.
     """
 
     parallel_calls: int = 1
     notified_within: float = inf
+    pushed_on_request: bool = False
 
 
 DEFAULT_WATCH_OPTIONS = WatchOptions()
@@ -101,6 +103,7 @@
     def __init__(self, settings: api.Settings, context: BatchContext, watch_options: WatchOptions) -> None:
         self._context = context
         self._polled = settings.membership_polled
+        self._requested_at_start = settings.membership_polled or watch_options.pushed_on_request
         self._calls_may_overlap = watch_options.parallel_calls > 1
         self._notified_within = watch_options.notified_within
         self._pushed_grace = min(max(settings.drain_grace, settings.timer_granularity), MAX_PUSHED_GRACE)
@@ -118,6 +121,11 @@
         self._calls_made = 0  # number of calls requested
         self._retry_pending = False
 
+    def start(self) -> None:
+        """Make the first call, where lists come on request."""
+        if self._requested_at_start:
+            self.request_updates()
+
     def request_updates(self) -> None:
         """Request the endpoint list and its changes, and a further call if no answer comes in time."""
         self._retry_pending = False
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -49,6 +49,7 @@
 PARALLEL_WATCH_CALLS = 3
 # Platform protocol: seconds after a change at a reachable discovery by which a co-ordinator counts as notified of it.
 NOTIFIED_WITHIN = 6.0
+WATCH_OPTIONS = WatchOptions(PARALLEL_WATCH_CALLS, NOTIFIED_WITHIN, pushed_on_request=True)
 _MAX_RESULT_BYTES = 64 << 20  # results of all open queries
 _MAX_HEAD_BYTES = 16384  # head of a client's request
 _MAX_BODY_BYTES = 65536  # body of a client's request
@@ -95,7 +96,7 @@
         # Enough for every part of as many queries as there can be connections: the descriptors are the limit.
         admission = AdmissionLimits(config.max_sockets * (1 + config.shards), _MAX_RESULT_BYTES)
         return QueryCoordinator(
-            DecisionEngine(settings, config.seed, WatchOptions(PARALLEL_WATCH_CALLS, NOTIFIED_WITHIN)),
+            DecisionEngine(settings, config.seed, WATCH_OPTIONS),
             settings,
             admission,
             QueryLog(self.telemetry, config.class_names, reader.host_name),
@@ -183,8 +184,6 @@
         self.watch.start()
         if self._peers:
             self._peers.start()
-        if not self._config.settings.membership_polled:
-            self.watch.request_watch()
         self.core.start()
         self.front.ready = True
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -360,8 +360,11 @@
         sockets: int = 256,
         settings: Any = SETTINGS,
         where: tuple[str, int] | None = None,
+        cached: bool = True,
     ) -> None:
-        """`where`: the address of a discovery that the test runs itself."""
+        """`where`: the address of a discovery that the test runs itself. `cached`: whether the configuration
+        has a list."""
+        self.cached = cached
         self.replicas = replicas or (Replica(0), Replica(0))
         self.discovery = Discovery([host(r) for r in self.replicas])
         self.path, self.settings, self.sockets = folder / "config.json", settings, sockets
@@ -374,6 +377,7 @@
     def configure(self, discovery: Discovery | str) -> None:
         address = discovery if isinstance(discovery, str) else discovery.address
         cached_list = {"seq": 0, "whole": True, "hosts": [host(r) for r in self.replicas]}
+        known = {"known": cached_list} if self.cached else {}
         self.path.write_text(
             json.dumps(
                 {
@@ -382,8 +386,8 @@
                     "discovery": address,
                     "seed": "5",
                     "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets},
-                    "known": cached_list,
                     "settings": self.settings,
+                    **known,
                 }
             )
         )
--- a/tests/test_unanswered_discovery_calls.py
+++ b/tests/test_unanswered_discovery_calls.py
@@ -95,6 +95,15 @@
     created.close()
 
 
+# Guards against a first call that nothing watches: where lists are pushed it was waited for without end.
+@pytest.mark.parametrize("silence", SILENCES)
+def test_a_silent_first_call_after_the_start_is_followed_by_another(
+    deployment: Deployment, silence: str
+) -> None:
+    SILENCES[silence](deployment.first.sock(1))
+    deployment.assert_removal_is_learnt(deployment.first.sock(2))
+
+
 # Guards against a first call after SIGHUP that nothing watches: a removed replica got parts to the end.
 @pytest.mark.parametrize("silence", SILENCES)
 def test_a_silent_first_call_after_a_change_of_address_is_followed_by_another(
@@ -131,3 +140,24 @@
     reset(deployment.second.sock(1))
     deployment.second.sock(2)
     deployment.assert_removal_is_learnt(deployment.second.sock(3))
+
+
+# Guards against a SIGHUP that arrives while calls wait: their timers no longer count at the new address.
+def test_a_change_of_address_while_two_calls_wait(deployment: Deployment) -> None:
+    deployment.first.sock(2)
+    deployment.move(deployment.second)
+    deployment.second.sock(1)
+    deployment.assert_removal_is_learnt(deployment.second.sock(2))
+
+
+# Guards against a first call that waited for the first query, as nothing else started the decisions.
+def test_a_node_without_a_cached_list_calls_discovery_at_its_start(tmp_path: Path) -> None:
+    discovery, replica = ScriptedDiscovery(), Replica(0)
+    platform = Platform(tmp_path, replica, where=discovery.where, cached=False)
+    try:
+        discovery.sock(1).sendall(HEAD + chunk(line(1, host(replica))))
+        wait_until(lambda: platform.node.watch._reader.version == 1, "the list was read")
+        assert platform.ask("q", {0: 1.0})[0] == 200
+    finally:
+        discovery.close()
+        platform.close()
