--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -4,6 +4,10 @@
 discovery's queue: a call ends once another has been answered or, beyond the limit, is superseded by a newer one. The
 oldest call is never superseded, so that it is answered however slow discovery is.
 
+Only `request_watch` begins a call, as only the engine knows when an unanswered one needs another beside it. The
+engine takes the endpoint list for watched from the report of a list to that of an interruption. So that this is
+always true, each report is made in the critical section of `_change` in which the state changes.
+
 Threads: each call has a thread, which reads lists and passes them on. `_change` guards the state that they share,
 `_reader_lock` the reader of lists; where both are needed, `_reader_lock` is taken first. `request_watch` (called by
 the decision thread) and `change_address` (main thread) never wait for I/O.
@@ -111,7 +115,7 @@
             for call in self._calls:
                 call.interrupt(CallEnd.ADDRESS_CHANGED)
             self._update_state(CallEnd.ADDRESS_CHANGED.value)
-            self._sink.discovery_address_changed(time.monotonic() - self._last_line_at)
+            self._sink.discovery_address_changed(self._seconds_without_data())
 
     def stop(self) -> None:
         """Interrupt all calls and make no more."""
@@ -209,23 +213,33 @@
             self._change.notify_all()
             self._call_ends[reason.value] += 1
             self._call_ended_at = time.monotonic()
-            # The decision engine times the retry. Reporting one failure per backoff keeps calls from accumulating.
-            is_reported = not call.interrupted and not self._has_watch() and not self._retry_pending
-            self._retry_pending = self._retry_pending or is_reported
-            was_watch = call.has_list and not call.is_stalled
-            seconds_without_data = time.monotonic() - self._last_line_at
             self._update_state(detail or reason.value)
+            if not call.interrupted:
+                self._report_end(call)
             needed = not self._idle_workers or self._stopped
             self._workers -= not needed
-        if is_reported and was_watch:
-            self._sink.watch_interrupted(seconds_without_data)
-        elif is_reported:
+        return needed
+
+    def _report_end(self, call: DiscoveryCall) -> None:
+        """Report the end of a call that was not interrupted. Called with `_change` held."""
+        if call.is_watch:
+            self._report_interruption()
+        elif not self._has_watch() and not self._retry_pending:
+            # The decision engine times the retry. Reporting one failure per backoff keeps calls from accumulating.
+            self._retry_pending = True
             failed = api.MembershipChanged(api.MembershipUpdateKind.FAILED, ())
             self._sink.endpoints_updated(EndpointsUpdated(failed, {}))
-        return needed
+
+    def _report_interruption(self) -> None:
+        """Report that there is no watch any more. Called with `_change` held."""
+        self._retry_pending = True
+        self._sink.watch_interrupted(self._seconds_without_data())
 
     def _has_watch(self) -> bool:
-        return any(call.has_list and not call.is_stalled and not call.interrupted for call in self._calls)
+        return any(call.is_watch for call in self._calls)
+
+    def _seconds_without_data(self) -> float:
+        return time.monotonic() - self._last_line_at
 
     def _update_state(self, reason: str) -> None:
         """Update the state of the watch and log a change of it. Called with `_change` held."""
@@ -245,33 +259,33 @@
 
     def line_received(self, call: DiscoveryCall) -> None:
         """Record a line. Once a list was received, a line confirms that there are no other changes up to now."""
-        now = time.monotonic()
         with self._change:
             if call.interrupted:
                 return
-            if call.has_list:
-                self._record_line(now)
             has_resumed, call.is_stalled = call.is_stalled, False
+            if call.has_list:
+                self._record_line()
+            if has_resumed:
+                self._promote(call, "it speaks again")
+                no_changes = api.MembershipChanged(api.MembershipUpdateKind.DELTA, ())
+                self._sink.endpoints_updated(EndpointsUpdated(no_changes, {}))
         with self._reader_lock:
             self._reader.record_activity()
-        if has_resumed:
-            self._promote(call, "it speaks again")
-            no_changes = api.MembershipChanged(api.MembershipUpdateKind.DELTA, ())
-            self._sink.endpoints_updated(EndpointsUpdated(no_changes, {}))
 
-    def _record_line(self, now: float) -> None:
+    def _record_line(self) -> None:
         """Record that the list is up to date with discovery. Called with `_change` held."""
+        now = time.monotonic()
         self._longest_gap = max(self._longest_gap, now - self._last_line_at)
         self._last_line_at = now
 
-    def watch_stalled(self, call: DiscoveryCall, seconds: float) -> None:
+    def watch_stalled(self, call: DiscoveryCall) -> None:
         """Report that the watch has stalled. It stays open until another call has been answered."""
         with self._change:
             if call.interrupted:
                 return
-            self._retry_pending = True
+            call.is_stalled = True
             self._update_state("it fell silent")
-        self._sink.watch_interrupted(seconds)
+            self._report_interruption()
 
     def value_received(self, call: DiscoveryCall, value: bytes, is_json: bool) -> None:
         """Apply one watch event if it is a valid list."""
@@ -292,19 +306,27 @@
                 self._log(LogEvent.ENDPOINT_LIST_INVALID, error=str(error))
                 return
             call.progress.record_list()
-            if update:
-                self._sink.endpoints_updated(update)
-        if not call.has_list:
+            with self._change:
+                self._report_list(call, update)
+
+    def _report_list(self, call: DiscoveryCall, update: EndpointsUpdated | None) -> None:
+        """Report a valid list, which makes its call the watch; `update` is None if it is stale.
+
+        Called with `_change` held.
+        """
+        if update:
+            self._sink.endpoints_updated(update)
+        if not call.interrupted and not call.has_list:
             call.has_list = True
+            self._record_line()
             self._promote(call, "")
+        if update and not self._has_watch():
+            self._report_interruption()  # the call is interrupted, or stalled until its next line
 
     def _promote(self, call: DiscoveryCall, reason: str) -> None:
-        """Make an answered call the watch and interrupt all others."""
-        with self._change:
-            if call.interrupted:
-                return
-            self._record_line(time.monotonic())
-            for other in self._calls:
-                if other is not call:
-                    other.interrupt(CallEnd.ANSWERED_ELSEWHERE)
-            self._update_state(reason)
+        """Make an answered call the only watch. Called with `_change` held."""
+        self._call_requested = False
+        for other in self._calls:
+            if other is not call:
+                other.interrupt(CallEnd.ANSWERED_ELSEWHERE)
+        self._update_state(reason)
--- a/gingervane/node/discovery_call.py
+++ b/gingervane/node/discovery_call.py
@@ -130,8 +130,8 @@
     def value_received(self, call: DiscoveryCall, value: bytes, is_json: bool) -> None:
         """Handle a received value, which should be a list or a change."""
 
-    def watch_stalled(self, call: DiscoveryCall, seconds: float) -> None:
-        """Handle a watch that has received no line for `seconds`. It stays open."""
+    def watch_stalled(self, call: DiscoveryCall) -> None:
+        """Handle a watch that has received no line within the timeout. It stays open."""
 
 
 class DiscoveryCall:
@@ -141,12 +141,17 @@
         self.progress = progress
         self.interrupted: CallEnd | None = None  # the reason, once the call is interrupted
         self.has_list = False  # a list was received, which makes this a watch; set by the call's thread
-        self.is_stalled = False  # a watch that received no line within the timeout
+        self.is_stalled = False  # a watch that received no line within the timeout; set by the call's thread
         self._handlers = handlers
         self._lock = Lock()
         self._sock: socket.socket | None = None
         self._last_line_at = inf  # when the last line was received
 
+    @property
+    def is_watch(self) -> bool:
+        """Whether the endpoint list is watched on this call."""
+        return self.has_list and not self.is_stalled and not self.interrupted
+
     def interrupt(self, reason: CallEnd) -> None:
         """End the call as soon as possible."""
         with self._lock:
@@ -217,8 +222,7 @@
             except TimeoutError as error:
                 if error.errno:  # raised by the kernel: the connection is dead
                     raise
-                self.is_stalled = True
-                self._handlers.watch_stalled(self, time.monotonic() - self._last_line_at)
+                self._handlers.watch_stalled(self)
             else:
                 self.progress.record_bytes(len(data))
                 return data
