--- a/gingervane/node/discovery_call.py
+++ b/gingervane/node/discovery_call.py
@@ -14,7 +14,6 @@
 import time
 from dataclasses import dataclass, field
 from enum import Enum
-from math import inf
 from threading import Lock
 from typing import Protocol
 
@@ -145,7 +144,7 @@
         self._handlers = handlers
         self._lock = Lock()
         self._sock: socket.socket | None = None
-        self._last_line_at = inf  # when the last line was received
+        self._last_line_at: float | None = None  # when the last line, or the first list, was received
 
     @property
     def is_watch(self) -> bool:
@@ -229,7 +228,7 @@
 
     def _seconds_to_stall(self) -> float | None:
         """Seconds until the watch counts as stalled; None for a call without a list or already stalled."""
-        if not self.has_list or self.is_stalled:
+        if not self.has_list or self.is_stalled or self._last_line_at is None:
             return None
         return max(self._last_line_at + STALL_TIMEOUT - time.monotonic(), 0.001)
 
@@ -243,6 +242,8 @@
                 self._handlers.line_received(self)
             for value, is_json in values.feed(data):
                 self._handlers.value_received(self, value, is_json)
+                if self._last_line_at is None and self.has_list:  # its line end has not been received yet
+                    self._last_line_at = time.monotonic()
 
 
 def _classify_error(error: Exception, progress: CallProgress) -> CallEnd:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -264,6 +264,18 @@
     assert harness.states()[0] == "READY"
 
 
+# Guards against an internal error that ended a watch whose first list was received before its line end.
+def test_a_list_that_is_received_before_its_line_end_starts_a_watch(harness: WatchHarness) -> None:
+    first = harness.first_discovery.sock(1)
+    first.sendall(HEAD + chunk(line(1, entry()).rstrip()))
+    harness.updates.wait()
+    first.sendall(chunk(b"\n") + chunk(line(2, entry("DRAINING"), whole=False)))
+    harness.updates.wait(2)
+    assert harness.states() == ["READY", "DRAINING"] and not harness.ends()
+    harness.updates.wait(3)
+    assert harness.states()[2:] == ["interrupted"], "without a further line it stalls"
+
+
 def test_a_reset_inside_a_list_without_length_is_a_failure(harness: WatchHarness) -> None:
     first = harness.first_discovery.sock(1)
     first.sendall(NO_LENGTH + line(1, entry("DRAINING"))[:-3])
