--- a/gingervane/fronts/client_connection.py
+++ b/gingervane/fronts/client_connection.py
@@ -24,7 +24,7 @@
     `max_connections` bounds the connections that are not closing. A connection is idle for at most
     `idle_timeout`, and may take `first_byte_timeout` to send its first byte (None: `idle_timeout` applies).
     When more than `eviction_threshold` connections are open, those that have been idle for `min_idle` may be
-    closed.
+    closed. The system queues up to `backlog` connections until they are accepted.
     """
 
     max_connections: int
@@ -32,6 +32,7 @@
     first_byte_timeout: float | None
     eviction_threshold: int
     min_idle: float
+    backlog: int
 
     @property
     def effective_first_byte_timeout(self) -> float:
--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -52,6 +52,8 @@
 _MAX_POLL_TIMEOUT = 0.5  # seconds; bounds the delay until a timeout that another thread has set is noticed
 _RECEIVE_BYTES = 65536
 _EVICTIONS_PER_ACCEPT = 2  # more than one, so that the number of connections shrinks
+_ACCEPTS_PER_TURN = 16  # of the polling thread, before it looks at the open connections again
+_EVICTION_CANDIDATES = 16  # silent connections that are examined to make room for a new one
 
 
 class ConnectionManager:
@@ -121,12 +123,16 @@
                 self._close_unless_requested(connection, CloseReason.SHUTDOWN)
 
     def stop_accepting(self) -> None:
-        """Begin shutdown, and close the listener after accepting the connections in its backlog."""
+        """Begin shutdown, and close the listener after accepting the connections in its backlog.
+
+        Connections that arrive while it is emptied may be reset: without a bound, clients that come again at once
+        would postpone the shutdown for as long as they do.
+        """
         with self._lock:
             if not self._accepting:
                 return
             # Closing the listener resets the connections in its backlog, and requests on them would be lost.
-            self._accept_pending()
+            self._accept_pending(self._limits.backlog)
             self._accepting = False
             self._poller.remove_listener()
             self._listener.close()
@@ -152,7 +158,7 @@
             for descriptor, _ in self._poller.wait(self._poll_timeout()):
                 if descriptor == self._listener_descriptor and descriptor not in self._open:
                     with self._lock:
-                        self._accept_pending()
+                        self._accept_pending(_ACCEPTS_PER_TURN)
                 else:
                     self._handle_event(descriptor)
             self._handle_timeouts()
@@ -222,9 +228,9 @@
 
     # ---- accepting; under the lock
 
-    def _accept_pending(self) -> None:
-        """Accept all connections in the backlog."""
-        while self._accepting:
+    def _accept_pending(self, most: int) -> None:
+        """Accept up to `most` connections in the backlog, and request an event for the next one."""
+        for _ in range(most if self._accepting else 0):
             if len(self._closing) >= MAX_CLOSING:  # frees a descriptor for the next connection
                 self._close_oldest()
             try:
@@ -239,6 +245,8 @@
                 self._accept_paused_until = time.monotonic() + _RETRY_PAUSE
                 return
             self._add(sock)
+        if self._accepting:
+            self._arm_listener()
 
     def _arm_listener(self) -> None:
         """Request an event for the next incoming connection; retried after a pause if that fails."""
@@ -271,10 +279,10 @@
             self._close_unless_requested(connection, CloseReason.OVER_EVICTION_THRESHOLD)
 
     def _evict_silent(self) -> bool:
-        """Close the oldest connection that has sent nothing, as hundreds of those would use up the limit."""
+        """Close one of the oldest connections that has sent nothing, as hundreds of those would use up the limit."""
         if self._limits.first_byte_timeout is None:  # clients may connect before they have a request
             return False
-        silent = list(self._awaiting_first_byte)
+        silent = oldest(self._awaiting_first_byte, _EVICTION_CANDIDATES)
         return any(self._close_unless_requested(connection, CloseReason.EVICTED) for connection in silent)
 
     def _reject(self, connection: ClientConnection, reason: CloseReason) -> None:
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -55,6 +55,7 @@
             self.first_byte_timeout,
             self.eviction_threshold,
             self.min_idle,
+            _BACKLOG,
         )
 
 
--- /dev/null
+++ b/tests/test_connection_floods.py
@@ -0,0 +1,75 @@
+"""Clients that connect faster than they are turned away: everybody else has to be served beside them."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from connection_tools import idle_client, in_background
+from platform_fakes import WAIT_TIMEOUT_SECONDS, Platform, connections_of, query, reply, wait_until
+
+
+class EndlessListener:
+    """A listener that always has one more connection to accept, until `end` is set."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        self._listener = listener
+        self._clients: list[socket.socket] = []
+        self.ended = False
+        self.accepted = 0
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if self.ended:
+            raise BlockingIOError
+        self.accepted += 1
+        client, server = socket.socketpair()
+        self._clients = [*self._clients[-1:], client]  # clients that are turned away leave
+        return server, None
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def fileno(self) -> int:
+        return self._listener.fileno()
+
+
+@pytest.fixture
+def open_client(platform: Platform) -> Iterator[socket.socket]:
+    """A client whose connection was accepted before the flood."""
+    sock = idle_client(platform)
+    sock.settimeout(WAIT_TIMEOUT_SECONDS)
+    yield sock
+    sock.close()
+
+
+@pytest.fixture
+def flood(platform: Platform, open_client: socket.socket) -> Iterator[EndlessListener]:
+    """Connections arrive without end as soon as a first one does."""
+    connections = connections_of(platform)
+    listener = EndlessListener(connections._listener)
+    connections._listener = listener  # type: ignore[assignment]
+    yield listener
+    listener.ended = True
+
+
+# Guards against an accept loop that ends with its backlog: requests on open connections stayed unread.
+def test_a_request_on_an_open_connection_is_served_while_connections_arrive_without_end(
+    platform: Platform, open_client: socket.socket, flood: EndlessListener
+) -> None:
+    with platform.client():
+        wait_until(lambda: flood.accepted > 0, "the flood has begun")
+        open_client.sendall(query("q", {0: 1.0}))
+        assert reply(open_client)[0] == 200
+        served_at = flood.accepted
+        wait_until(lambda: flood.accepted > served_at, "connections are accepted as before")
+
+
+# Guards against a shutdown that waits until clients stop connecting.
+def test_shutdown_ends_while_connections_arrive_without_end(
+    platform: Platform, flood: EndlessListener
+) -> None:
+    shutdown = in_background(platform.node.server.stop_accepting)
+    shutdown.join(WAIT_TIMEOUT_SECONDS)
+    assert not shutdown.is_alive() and flood.accepted > 0
