--- a/gingervane/wire/http1.py
+++ b/gingervane/wire/http1.py
@@ -10,6 +10,7 @@
 
 import re
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from typing import NamedTuple
 
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
@@ -19,6 +20,10 @@
 _HEX = re.compile(rb"[0-9A-Fa-f]{1,12}\Z")
 _RECEIVE_BYTES = 65536  # maximum of one call of receive
 _MAX_CHUNK_LINE_BYTES = 1024  # of the line with the size and the extensions of a chunk
+# Lines cost more time than their bytes do. Clients send a dozen; common servers accept 100 header fields.
+_MAX_HEAD_LINES = 100  # empty lines before a message, its first line and its header fields; also trailers
+_SMALL_CHUNK_BYTES = 64
+_MAX_SMALL_CHUNKS = 1024  # of one body
 _CR = 13
 
 
@@ -50,6 +55,14 @@
     body: int = 16 << 20
 
 
+@dataclass(slots=True)
+class _LineBudget:
+    """What a head, or the trailers of a body, may still take."""
+
+    bytes_left: int
+    lines_left: int = _MAX_HEAD_LINES + 1  # with the empty line at its end
+
+
 class Headers:
     """Header fields in the order received, with lower-case names."""
 
@@ -115,6 +128,7 @@
         self.limits = limits
         self.buffer = bytearray()
         self.bytes_read = 0  # bytes received from the connection so far
+        self._extension_bytes = 0  # of the chunks of the present body
 
     @property
     def has_buffered(self) -> bool:
@@ -147,18 +161,25 @@
             raise HttpError(400, f"{description}: CR inside a line")
         return line
 
+    def _read_budgeted_line(self, budget: _LineBudget, description: str) -> bytes:
+        """Return the next line of a head or of trailers. Raises HttpError if they are over their limits."""
+        line = self._read_line(budget.bytes_left, description)
+        budget.bytes_left -= len(line) + 2
+        budget.lines_left -= 1
+        if budget.lines_left < 0:
+            raise HttpError(431, f"{description}: more than {_MAX_HEAD_LINES} lines")
+        return line
+
     def _read_head(self, description: str) -> tuple[bytes, Headers]:
         """Return the first line and the header fields of the next message."""
         if not self.buffer and not self._receive_more():
             raise ConnectionClosedError(clean=True)
-        remaining_bytes = self.limits.head
+        budget = _LineBudget(self.limits.head)
         first_line = b""
         while not first_line:  # empty lines before a message are skipped (RFC 9112, 2.2)
-            first_line = self._read_line(remaining_bytes, description + " line")
-            remaining_bytes -= len(first_line) + 2
+            first_line = self._read_budgeted_line(budget, description + " line")
         pairs: list[tuple[str, str]] = []
-        while line := self._read_line(remaining_bytes, f"{description} header {len(pairs) + 1}"):
-            remaining_bytes -= len(line) + 2
+        while line := self._read_budgeted_line(budget, f"{description} header {len(pairs) + 1}"):
             where = f"{description} header {len(pairs) + 1}"
             if line[:1] in (b" ", b"\t"):
                 raise HttpError(400, f"{where}: folded onto a second line")
@@ -214,6 +235,10 @@
         """Return the next `length` bytes. Raises HttpError if that exceeds the limit of a body."""
         if length > self.limits.body:
             raise HttpError(413, f"{description}: {length} bytes, over the limit of {self.limits.body}")
+        return self._take(length)
+
+    def _take(self, length: int) -> bytes:
+        """Return the next `length` bytes."""
         while len(self.buffer) < length:
             if not self._receive_more():
                 raise ConnectionClosedError(clean=False)
@@ -255,27 +280,36 @@
         """Return a complete chunked body."""
         body = bytearray()
         index = 1
+        small_chunks = 0
+        self._extension_bytes = 0
         while data := self.read_chunk(f"chunk {index}", len(body)):
             body += data
             index += 1
+            small_chunks += len(data) < _SMALL_CHUNK_BYTES
+            if small_chunks > _MAX_SMALL_CHUNKS:
+                detail = f"more than {_MAX_SMALL_CHUNKS} chunks of under {_SMALL_CHUNK_BYTES} bytes"
+                raise HttpError(400, f"body: {detail}")
+            if self._extension_bytes > self.limits.head:
+                raise HttpError(400, f"body: over {self.limits.head} bytes of chunk extensions")
         return bytes(body)
 
     def read_chunk(self, where: str = "chunk", body_bytes_before: int = 0) -> bytes:
         """Return the next chunk of a body, b"" at its end. `body_bytes_before`: bytes read earlier."""
-        size, _, _ = self._read_line(_MAX_CHUNK_LINE_BYTES, where + " size", 400).partition(b";")
+        size, _, extensions = self._read_line(_MAX_CHUNK_LINE_BYTES, where + " size", 400).partition(b";")
+        self._extension_bytes += len(extensions)
         if not _HEX.match(size.rstrip(b" \t")):
             raise HttpError(400, f"{where}: size is not hexadecimal")
         length = int(size, 16)
         if body_bytes_before + length > self.limits.body:
             raise HttpError(413, f"{where}: body over the limit of {self.limits.body} bytes")
         if length:
-            data = self._read_exactly(length, where)
-            if self._read_exactly(2, where) != b"\r\n":
+            data = self._take(length + 2)
+            if not data.endswith(b"\r\n"):
                 raise HttpError(400, f"{where}: not followed by CRLF")
-            return data
-        remaining_bytes = self.limits.head
-        while line := self._read_line(remaining_bytes, "trailer"):
-            remaining_bytes -= len(line) + 2
+            return data[:-2]
+        budget = _LineBudget(self.limits.head)
+        while self._read_budgeted_line(budget, "trailer"):
+            pass
         return b""
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -78,6 +78,49 @@
     assert caught.value.status == status and where in caught.value.detail
 
 
+CHUNKED = START + b"Transfer-Encoding: chunked\r\n\r\n"
+EXTENDED_CHUNK = b"1;" + b"e" * 1000 + b"\r\na\r\n"
+COSTLY = {
+    "many fields": (START + b"a:\r\n" * 99 + b"\r\n", 431, "header 101"),
+    "many fields without end": (START + b"a:\r\n" * 110, 431, "header 101"),
+    "many empty lines": (b"\r\n" * 102 + START + b"\r\n", 431, "request line"),
+    "many trailers": (CHUNKED + b"0\r\n" + b"a:\r\n" * 101 + b"\r\n", 431, "trailer"),
+    "many chunks": (CHUNKED + b"1\r\na\r\n" * 1025 + b"0\r\n\r\n", 400, "chunks of under 64"),
+    "many extensions": (CHUNKED + EXTENDED_CHUNK * 17 + b"0\r\n\r\n", 400, "extensions"),
+}
+FREQUENT = {
+    "fields": START + b"a:\r\n" * 98 + b"\r\n",
+    "empty lines": b"\r\n" * 98 + START + b"\r\n",
+    "trailers": CHUNKED + b"0\r\n" + b"a:\r\n" * 100 + b"\r\n",
+    "small chunks": CHUNKED + b"1\r\na\r\n" * 1024 + b"0\r\n\r\n",
+    "large chunks": CHUNKED + (b"40\r\n" + b"a" * 64 + b"\r\n") * 1024 + b"0\r\n\r\n",
+    "extensions": CHUNKED + EXTENDED_CHUNK * 16 + b"0\r\n\r\n",
+}
+
+
+def read_with_usual_limits(data: bytes, step: int) -> bytes:
+    """Read one request with the limits of a node; return its body."""
+    pieces = iter([data[i : i + step] for i in range(0, len(data), step)])
+    source = Reader(lambda max_bytes: next(pieces, b""), Limits(16 << 10, 64 << 10))
+    return source.body(source.request().headers)
+
+
+# Guards against messages within the bounds on bytes that take 10 to 900 ms of processor time each.
+@pytest.mark.parametrize("name", COSTLY)
+@pytest.mark.parametrize("step", [1, 1 << 16])
+def test_messages_of_very_many_pieces_are_rejected(name: str, step: int) -> None:
+    data, status, where = COSTLY[name]
+    with pytest.raises(HttpError) as caught:
+        read_with_usual_limits(data, step)
+    assert caught.value.status == status and where in caught.value.detail
+
+
+@pytest.mark.parametrize("name", FREQUENT)
+def test_messages_of_as_many_pieces_as_are_allowed_are_read(name: str) -> None:
+    expected = {"small chunks": b"a" * 1024, "large chunks": b"a" * 65536, "extensions": b"a" * 16}
+    assert read_with_usual_limits(FREQUENT[name], 1 << 16) == expected.get(name, b"")
+
+
 @given(st.lists(st.tuples(st.booleans(), st.binary(max_size=300)), max_size=4), st.integers(1, 40))
 def test_requests_parse_the_same_however_the_stream_is_split(
     bodies: list[tuple[bool, bytes]], step: int
