--- a/tests/test_discovery_watch_model.py
+++ b/tests/test_discovery_watch_model.py
@@ -207,7 +207,7 @@
             assert self.watch._change.wait_for(self._is_quiet, WAIT_TIMEOUT_SECONDS)
 
     def _is_quiet(self) -> bool:
-        all_threads_call = self.watch._workers > PARALLEL_WATCH_CALLS and not self.watch._idle_workers
+        all_threads_call = len(self.calls) >= self.watch._workers
         awaits_begin = self.watch._call_requested and not all_threads_call
         return not awaits_begin and all(call.is_running for call in self.calls)
 
