--- a/tests/faults/timed_frames.py
+++ b/tests/faults/timed_frames.py
@@ -7,11 +7,14 @@
 import struct
 import time
 from collections.abc import Callable
+from functools import cache
 from typing import NamedTuple
 
 _SO_TIMESTAMPNS = 35  # SO_TIMESTAMPNS and SCM_TIMESTAMPNS of Linux; the socket module has no name for them
 _TIMESPEC = struct.Struct("qq")
 _MAX_FRAME_BYTES = 1 << 20
+_PROBE_WAIT_SECONDS = 0.005  # between the arrival of a probe and its reading
+_MAX_PROBES = 400
 
 
 class Arrival(NamedTuple):
@@ -37,8 +40,45 @@
 _CLOCK_OFFSET_SECONDS = _clock_offset()  # stays valid: nothing steps the wall clock of the rig's process
 
 
+class TimestampProbe:
+    """A datagram socket that keeps time stamping on, and finds out whether arriving data is stamped yet."""
+
+    def __init__(self) -> None:
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.bind(("127.0.0.1", 0))
+        self._sock.setsockopt(socket.SOL_SOCKET, _SO_TIMESTAMPNS, 1)
+
+    def is_stamped_on_arrival(self) -> bool:
+        """Whether a datagram that is read late has the time of its arrival."""
+        self._sock.sendto(b"probe", self._sock.getsockname())
+        sent_at = time.monotonic()
+        time.sleep(_PROBE_WAIT_SECONDS)
+        _, arrived_at = receive(self._sock)
+        return arrived_at < sent_at + _PROBE_WAIT_SECONDS / 2
+
+
+def await_timestamps(probe: TimestampProbe) -> None:
+    """Wait until the kernel stamps data on its arrival. Raises RuntimeError if it never does.
+
+    The first socket that asks for time stamps has the kernel switch them on in the background. What arrives before
+    that is stamped when it is read.
+    """
+    for _ in range(_MAX_PROBES):
+        if probe.is_stamped_on_arrival():
+            return
+    raise RuntimeError("the kernel does not time-stamp received data")
+
+
+@cache
+def _keep_timestamps_on() -> TimestampProbe:
+    probe = TimestampProbe()
+    await_timestamps(probe)
+    return probe
+
+
 def enable_timestamps(sock: socket.socket) -> None:
     """Have the kernel time-stamp received data, so that a late read does not falsify its time."""
+    _keep_timestamps_on()
     sock.setsockopt(socket.SOL_SOCKET, _SO_TIMESTAMPNS, 1)
 
 
--- a/tests/test_fault_rig.py
+++ b/tests/test_fault_rig.py
@@ -46,7 +46,14 @@
 from faults.plans import ClassPlan, Plan, ProxyFaults
 from faults.proxy import Proxy
 from faults.replicas import good_answer
-from faults.timed_frames import TimedFrame, TimedFrameParser, TimedReceiver
+from faults.timed_frames import (
+    TimedFrame,
+    TimedFrameParser,
+    TimedReceiver,
+    TimestampProbe,
+    await_timestamps,
+    enable_timestamps,
+)
 
 GAP = 0.3  # seconds by which a reader is delayed
 Record = PartReceived | AnswerForwarded | Request | ListWritten
@@ -190,6 +197,30 @@
     discovery.close()
 
 
+class ProbeStampedLate(TimestampProbe):
+    """A probe whose first two datagrams are stamped when they are read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answers = [False, False, True, False]
+
+    def is_stamped_on_arrival(self) -> bool:
+        return self.answers.pop(0)
+
+
+# Guards against data that arrives before the kernel has switched time stamps on, and is dated by its reading.
+def test_time_stamps_are_awaited_until_data_has_the_time_of_its_arrival() -> None:
+    probe = ProbeStampedLate()
+    await_timestamps(probe)
+    assert probe.answers == [False]
+
+
+def test_a_datagram_that_is_read_late_is_stamped_on_arrival() -> None:
+    with socket.socket() as sock:
+        enable_timestamps(sock)
+    assert TimestampProbe().is_stamped_on_arrival()
+
+
 def frame(text: bytes) -> bytes:
     return struct.pack("<I", 1 + len(text)) + b"q" + text
 
