--- a/gingervane/fronts/client_connection.py
+++ b/gingervane/fronts/client_connection.py
@@ -82,11 +82,12 @@
     attributes belong to the connection manager and are guarded by its lock.
     """
 
-    def __init__(self, sock: socket.socket, now: float) -> None:
+    def __init__(self, sock: socket.socket, now: float, connected_since: float) -> None:
         self.sock = sock
+        self.connected_since = connected_since  # earliest time at which the client may have connected
         self.descriptor = sock.fileno()
         self.idle_since = now  # when it was accepted, or its previous request was finished
-        self.request_started = now  # when the first byte of the current request arrived
+        self.request_started = now  # earliest time at which the first byte of the current request arrived
         self.last_reply = -inf  # when the previous request was finished; -inf before the first request
         self.worker_state: object = None  # state that the worker keeps between requests
         self.registered = False  # with the poller
--- a/tests/test_connection_floods.py
+++ b/tests/test_connection_floods.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Iterator
 from typing import Any
 
 import pytest
-from connection_tools import idle_client, in_background
+from connection_tools import BlockableMethod, idle_client, in_background
 from platform_fakes import WAIT_TIMEOUT_SECONDS, Platform, connections_of, query, reply, wait_until
 
+TIMEOUT_MS = 6000  # the deadline of the class
+TURN_SECONDS = 0.3
+
 
 class EndlessListener:
     """A listener that always has one more connection to accept, until `end` is set."""
@@ -66,6 +70,27 @@
         wait_until(lambda: flood.accepted > served_at, "connections are accepted as before")
 
 
+# Guards against a request that is dated when its turn comes: replicas were told time that its client had not left.
+def test_time_in_which_a_request_waits_for_its_turn_is_not_told_to_replicas(
+    platform: Platform, open_client: socket.socket, connection_events: BlockableMethod
+) -> None:
+    with platform.client() as other_client:
+        other_client.settimeout(WAIT_TIMEOUT_SECONDS)
+        assert platform.ask("other", {0: 1.0}, sock=other_client)[0] == 200
+        wait_until(lambda: len(connections_of(platform)._idle) == 2, "both connections are idle")
+        connection_events.block()
+        open_client.sendall(query("held", {0: 1.0}))
+        assert connection_events.entered.wait(WAIT_TIMEOUT_SECONDS)  # a turn has begun, and takes its time
+        sent_at = time.monotonic()
+        other_client.sendall(query("late", {0: 1.0}, timeout_ms=TIMEOUT_MS))
+        wait_until(lambda: time.monotonic() > sent_at + TURN_SECONDS, "the turn has taken its time")
+        connection_events.unblock()
+        assert reply(other_client)[0] == 200
+    parts = [part for replica in platform.replicas for part in replica.parts.items]
+    (told,) = [int(part.words["d"]) for part in parts if part.id == "late.0"]
+    assert told <= TIMEOUT_MS - TURN_SECONDS * 1000
+
+
 # Guards against a shutdown that waits until clients stop connecting.
 def test_shutdown_ends_while_connections_arrive_without_end(
     platform: Platform, flood: EndlessListener
