--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -253,7 +253,7 @@
         replica.unresponsive_until = 0.0
         if event.outcome is api.AttemptOutcome.OK:
             replica.last_served_send_at = max(replica.last_served_send_at, attempt.request.sent_at)
-            self.membership.watch.record_served()
+            self.membership.leases.record_served()
         elif event.outcome is api.AttemptOutcome.REJECTED:
             replica.last_rejected_send_at = max(replica.last_rejected_send_at, attempt.request.sent_at)
         self._idle_connections.record_answer(attempt)
--- a/gingervane/decisions/membership.py
+++ b/gingervane/decisions/membership.py
@@ -7,6 +7,7 @@
 from gingervane import interface as api
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.membership_watch import MembershipWatch, WatchOptions
+from gingervane.decisions.replica_leases import ReplicaLeases
 from gingervane.decisions.replica_state import KnownReplica
 
 
@@ -16,6 +17,7 @@
     def __init__(self, settings: api.Settings, context: BatchContext, watch_options: WatchOptions) -> None:
         self._settings = settings
         self.watch = MembershipWatch(settings, context, watch_options)
+        self.leases = ReplicaLeases(settings, context, self.watch, watch_options)
         self.replicas = dict[int, KnownReplica]()
         self.ready_count = 0
         self.unavailable = frozenset[int]()  # ids of the draining and removed replicas in the last event
@@ -37,6 +39,7 @@
             return
         if event.kind is not api.MembershipUpdateKind.CACHED:
             self.watch.record_list()
+            self.leases.record_list()
         if event.kind is not api.MembershipUpdateKind.DELTA:
             for replica in self.replicas.values():
                 replica.endpoint = replica.endpoint._replace(state=api.ReplicaState.GONE)
@@ -49,7 +52,7 @@
         )
         self._forget_gone_replicas()
         self.ready_count = sum(replica.ready for replica in self.replicas.values())
-        self.watch.ready_replicas = self.ready_count
+        self.leases.set_ready_replicas(self.ready_count)
 
     def _update_replica(self, endpoint: api.Replica) -> None:
         """Apply one entry of the list; a restarted replica is no longer ejected and enters slow start."""
--- a/gingervane/decisions/replica_selection.py
+++ b/gingervane/decisions/replica_selection.py
@@ -71,7 +71,7 @@
         limited, as a query with parts at all ejected replicas would wait for each of them.
         """
         now = self._context.now
-        if self._membership.watch.is_lease_expired(replica):
+        if self._membership.leases.is_expired(replica):
             return False
         if replica.ejected_for:
             is_due = now >= replica.ejected_until and not replica.requests
@@ -99,7 +99,7 @@
 
     def _substitution_rank(self, replica: KnownReplica, part: Part) -> tuple[bool, bool, bool, float, bool]:
         return (
-            self._membership.watch.is_lease_expired(replica),
+            self._membership.leases.is_expired(replica),
             not self.is_preferred(replica, part.query),
             replica in part.tried_replicas,
             len(replica.requests) + relative_latency(replica, self._context.now),
--- a/gingervane/decisions/slow_start.py
+++ b/gingervane/decisions/slow_start.py
@@ -64,7 +64,7 @@
         suspected of a restart is refused.
         """
         now = self._context.now
-        if self._membership.watch.is_excluded(replica):
+        if self._membership.leases.is_excluded(replica):
             return False
         if conservative and now < replica.suspected_restart_at + self._duration:
             return False
--- a/tests/test_decisions_drain_reports.py
+++ b/tests/test_decisions_drain_reports.py
@@ -13,7 +13,8 @@
     REPORT_DRAINING,
     REPORTERS_PER_CHANGE,
 )
-from gingervane.decisions.membership_watch import REPORT_LIFETIME, WatchOptions
+from gingervane.decisions.membership_watch import WatchOptions
+from gingervane.decisions.replica_leases import REPORT_LIFETIME
 from gingervane.interface import MembershipUpdateKind, ReplicaState
 from gingervane.node.service import NOTIFIED_WITHIN, PARALLEL_WATCH_CALLS
 
@@ -90,11 +91,11 @@
     host.feed(drain_report(excluded, 999))
     sent = {host.where(part_of(host, host.query(0))) for _ in range(20)}
     assert sent and excluded not in sent
-    known_replica, watch = host.engine.membership.replicas[excluded], host.engine.membership.watch
-    assert watch.is_excluded(known_replica)
+    known_replica, leases = host.engine.membership.replicas[excluded], host.engine.membership.leases
+    assert leases.is_excluded(known_replica)
     host.wait(REPORT_LIFETIME + 0.1)
     host.feed()
-    assert not watch.is_excluded(known_replica)
+    assert not leases.is_excluded(known_replica)
 
 
 def test_a_report_is_ignored_where_the_watch_is_up() -> None:
@@ -127,5 +128,5 @@
 def test_other_and_malformed_messages_are_not_taken_for_reports(payload: bytes) -> None:
     host = Host(SETTINGS, watch_options=NODE_WATCH)
     host.feed(api.MembershipChanged(MembershipUpdateKind.FAILED, ()), api.PeerMessageReceived(1, payload))
-    watch, replicas = host.engine.membership.watch, host.engine.membership.replicas
-    assert not any(watch.is_excluded(known_replica) for known_replica in replicas.values())
+    leases, replicas = host.engine.membership.leases, host.engine.membership.replicas
+    assert not any(leases.is_excluded(known_replica) for known_replica in replicas.values())
--- a/tests/test_decisions_membership.py
+++ b/tests/test_decisions_membership.py
@@ -10,7 +10,8 @@
 from hosts import BASE, Host, replica
 
 from gingervane import interface as api
-from gingervane.decisions.membership_watch import CACHED_LIST_AGE, EXCLUSION_DURATION, WatchOptions
+from gingervane.decisions.membership_watch import CACHED_LIST_AGE, WatchOptions
+from gingervane.decisions.replica_leases import EXCLUSION_DURATION
 from gingervane.interface import MembershipUpdateKind, ReplicaState
 from gingervane.node.service import NOTIFIED_WITHIN, PARALLEL_WATCH_CALLS
 
@@ -194,14 +195,14 @@
     host = Host(BASE._replace(membership_polled=True), watch_options=NODE_WATCH)
     host.update_membership(MembershipUpdateKind.FULL, replica(10, zone=0))
     host.wait(20.0)
-    watch, known_replica = host.engine.membership.watch, host.engine.membership.replicas[10]
+    leases, known_replica = host.engine.membership.leases, host.engine.membership.replicas[10]
     host.feed(api.DiscoveryAddressChanged(2.0))
     host.wait(NOTIFIED_WITHIN - 2.0 - 0.1)
     host.feed()
-    assert not watch.is_lease_expired(known_replica)
+    assert not leases.is_expired(known_replica)
     host.wait(0.2)
     host.feed()
-    assert watch.is_lease_expired(known_replica)
+    assert leases.is_expired(known_replica)
 
 
 def test_while_the_watch_is_down_a_replica_is_trusted_until_its_lease_expires() -> None:
@@ -209,29 +210,25 @@
     host = Host(BASE._replace(membership_polled=True), watch_options=NODE_WATCH)
     host.update_membership(MembershipUpdateKind.FULL, *(replica(number, zone=0) for number in (10, 11, 12)))
     host.wait(20.0)
-    watch, replicas = host.engine.membership.watch, host.engine.membership.replicas
+    leases, replicas = host.engine.membership.leases, host.engine.membership.replicas
     served = part_of(host, host.query(0))
-    assert not any(
-        watch.is_lease_expired(known_replica) for known_replica in replicas.values()
-    ), "the watch is up"
+    assert not any(leases.is_expired(known_replica) for known_replica in replicas.values()), "the watch is up"
     host.feed(api.WatchInterrupted(2.0))
     host.wait(1.0)
     host.finish(served)  # it did not drain when this part was sent, 1 s ago and 2 s after the last data
     host.wait(NOTIFIED_WITHIN - 3.0 - 0.1)
     host.feed()
-    assert not any(watch.is_lease_expired(known_replica) for known_replica in replicas.values())
+    assert not any(leases.is_expired(known_replica) for known_replica in replicas.values())
     host.wait(0.2)
     host.feed()
-    expired = {number for number, known_replica in replicas.items() if watch.is_lease_expired(known_replica)}
+    expired = {number for number, known_replica in replicas.items() if leases.is_expired(known_replica)}
     assert expired == {10, 11, 12} - {host.where(served)}
     assert host.where(part_of(host, host.query(0))) == host.where(served)
     host.wait(2.0)
     host.feed()
-    assert watch.is_lease_expired(replicas[host.where(served)])
+    assert leases.is_expired(replicas[host.where(served)])
     host.update_membership(MembershipUpdateKind.DELTA)
-    assert not any(
-        watch.is_lease_expired(known_replica) for known_replica in replicas.values()
-    ), "it is up again"
+    assert not any(leases.is_expired(known_replica) for known_replica in replicas.values()), "it is up again"
 
 
 def test_a_rejecting_replica_is_used_until_its_lease_expires() -> None:
@@ -250,11 +247,11 @@
     host = Host(BASE._replace(membership_polled=True), replicas=1, watch_options=NODE_WATCH)
     host.update_membership(MembershipUpdateKind.DELTA)
     host.feed(api.WatchInterrupted(0.0))
-    watch, known_replica = host.engine.membership.watch, host.engine.membership.replicas[10]
+    leases, known_replica = host.engine.membership.leases, host.engine.membership.replicas[10]
     host.finish(part_of(host, host.query(0)), api.AttemptOutcome.REJECTED)
     host.wait(NOTIFIED_WITHIN - 0.1)
     host.feed()
-    assert not watch.is_excluded(known_replica), "a drain cannot count as notified yet"
+    assert not leases.is_excluded(known_replica), "a drain cannot count as notified yet"
     host.wait(0.2)
     query = host.query(0)
     assert not host.sends[part_of(host, query)]
@@ -262,7 +259,7 @@
     assert isinstance(ended, api.Reject) and ended.reason is api.QueryEndReason.NO_REPLICA
     host.wait(EXCLUSION_DURATION)
     host.feed()
-    assert not watch.is_excluded(known_replica), "its queue may have been full"
+    assert not leases.is_excluded(known_replica), "its queue may have been full"
 
 
 def test_a_replica_that_served_nothing_is_excluded_only_if_there_was_enough_traffic() -> None:
@@ -275,9 +272,9 @@
             host.finish(part_of(host, host.query(0)))
         host.wait(NOTIFIED_WITHIN + 0.1)
         host.feed()
-        watch, replicas = host.engine.membership.watch, host.engine.membership.replicas
-        assert all(watch.is_lease_expired(known_replica) for known_replica in replicas.values())
-        assert all(watch.is_excluded(known_replica) is excluded for known_replica in replicas.values())
+        leases, replicas = host.engine.membership.leases, host.engine.membership.replicas
+        assert all(leases.is_expired(known_replica) for known_replica in replicas.values())
+        assert all(leases.is_excluded(known_replica) is excluded for known_replica in replicas.values())
 
 
 def test_parts_are_sent_although_the_leases_of_all_holders_have_expired() -> None:
--- a/tests/test_discovery_watch_model.py
+++ b/tests/test_discovery_watch_model.py
@@ -1,8 +1,8 @@
 """The watch of discovery and the decision engine on simulated time, under drawn sequences of what can happen.
 
-The real `DiscoveryWatch` makes calls that the test answers, cuts and leaves silent; the real engine is given its
-reports and makes its requests. Two properties are checked: the engine takes the list for watched exactly while it is,
-and without a watch a further call begins within the longest backoff.
+The real `DiscoveryWatch` makes calls that the test answers, cuts and leaves silent; the real engine is given
+its reports and makes its requests. Two properties are checked: the engine takes the list for watched exactly
+while it is, and without a watch a further call begins within the longest backoff.
 """
 
 from __future__ import annotations
@@ -23,8 +23,8 @@
 from gingervane import interface as api
 from gingervane.coordinator.replica_start_times import ReplicaStartTimes
 from gingervane.coordinator.types import EndpointsUpdated
+from gingervane.decisions.call_timing import MAX_BACKOFF, MAX_JITTER
 from gingervane.decisions.engine import DecisionEngine
-from gingervane.decisions.membership_watch import MAX_BACKOFF, MAX_JITTER
 from gingervane.node import discovery
 from gingervane.node.discovery import DiscoveryWatch
 from gingervane.node.discovery_call import STALL_TIMEOUT, CallEnd, DiscoveryCall
