--- a/tests/test_connection_floods.py
+++ b/tests/test_connection_floods.py
@@ -70,7 +70,7 @@
         wait_until(lambda: flood.accepted > served_at, "connections are accepted as before")
 
 
-# Guards against a request that is dated when its turn comes: replicas were told time that its client had not left.
+# Guards against a request that is dated when its turn comes: replicas were told time that was not left.
 def test_time_in_which_a_request_waits_for_its_turn_is_not_told_to_replicas(
     platform: Platform, open_client: socket.socket, connection_events: BlockableMethod
 ) -> None:
--- a/tests/test_discovery_watch_model.py
+++ b/tests/test_discovery_watch_model.py
@@ -156,7 +156,7 @@
     # ---- time
 
     def advance(self, seconds: float) -> None:
-        """Let time pass: timers fire, watches stall, and interrupted calls end before anything else happens."""
+        """Let time pass: timers fire, watches stall, and interrupted calls end before all else."""
         end_at = self.now + seconds
         self.settle()
         while (due := self._next_due()) < end_at:
@@ -183,7 +183,7 @@
         self._run_engine([*self._take_reports(), *labels])
 
     def settle(self) -> None:
-        """Let the engine handle all reports and the threads make all requested calls; check the properties."""
+        """Let the engine handle all reports and the threads make all calls; check the properties."""
         self._await_threads()
         while reports := self._take_reports():
             self._run_engine(reports)
--- a/tests/test_unanswered_discovery_calls.py
+++ b/tests/test_unanswered_discovery_calls.py
@@ -52,7 +52,7 @@
 
 
 class Deployment:
-    """A node, two replicas that hold all shards, and two discoveries, the first of which the node calls first."""
+    """A node, two replicas that hold all shards, and two discoveries, of which it calls the first."""
 
     def __init__(self, folder: Path, mode: str) -> None:
         self.first, self.second = ScriptedDiscovery(), ScriptedDiscovery()
