--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -17,6 +17,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from gingervane import interface as api
 from gingervane.experiments.toml_text import toml
 from gingervane.fake_servers.capacity import Model
 from gingervane.fake_servers.server_list import list_row, write_list
@@ -171,3 +172,43 @@
     for thread in threads:
         thread.join(30)
     return counts[0], histogram, counts[1]
+
+
+def engine_settings(count: int) -> api.Settings:
+    """Return settings of one co-ordinator, with `count` cells and one query class."""
+    look = api.QueryClass(
+        latency_objective=1.5,
+        deadline=5.0,
+        retry_safety=api.RetrySafety.IDEMPOTENT,
+        idempotency_window=None,
+        second_step_parts=0,
+        required_coverage=1.0,
+        complete_coverage=1.0,
+        objective_stretch=None,
+        late_answer_value=0.0,
+        partial_answer_value=1.0,
+    )
+    return api.Settings(
+        coordinator_count=1,
+        zone=0,
+        query_classes=(look,),
+        tenant_quotas=(),
+        timer_granularity=0.005,
+        cell_count=count,
+        cells_per_replica=3,
+        max_parts_per_request=8,
+        max_attempts=3,
+        cancellation_allowed=True,
+        gossip_allowed=False,
+        hedging_allowed=True,
+        retry_after_allowed=True,
+        max_retry_after=1.0,
+        membership_polled=False,
+        slow_start_capacity=0.2,
+        slow_start_duration=15.0,
+        overload_window=2.0,
+        overload_multiple=4.0,
+        retry_budget_free=None,
+        retry_budget_share=None,
+        retry_budget_window=None,
+    )
--- a/benchmarks/discovery_calls.py
+++ b/benchmarks/discovery_calls.py
@@ -14,6 +14,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from common import engine_settings
+
 from gingervane import interface as api
 from gingervane.decisions.engine import DecisionEngine
 from gingervane.node.service import PARALLEL_WATCH_CALLS, WATCH_OPTIONS
@@ -105,32 +107,10 @@
         self._serve_next(now)
 
 
-def settings(polled: bool) -> api.Settings:
-    look_up = api.QueryClass(2.0, 6.0, api.RetrySafety.IDEMPOTENT, None, 0, 1.0, 1.0, None, 0.0, 1.0)
-    return api.Settings(
-        coordinator_count=CO_ORDINATORS,
-        zone=0,
-        query_classes=(look_up,),
-        tenant_quotas=(),
-        timer_granularity=0.005,
-        cell_count=1,
-        cells_per_replica=1,
-        max_parts_per_request=1,
-        max_attempts=3,
-        cancellation_allowed=True,
-        gossip_allowed=False,
-        hedging_allowed=True,
-        retry_after_allowed=True,
-        max_retry_after=1.0,
-        membership_polled=polled,
-        slow_start_capacity=0.2,
-        slow_start_duration=16.0,
-        overload_window=2.0,
-        overload_multiple=4.0,
-        retry_budget_free=None,
-        retry_budget_share=None,
-        retry_budget_window=None,
-        drain_grace=DRAIN_GRACE,
+def fleet_settings(polled: bool) -> api.Settings:
+    """Return the settings of a co-ordinator of the fleet."""
+    return engine_settings(1)._replace(
+        coordinator_count=CO_ORDINATORS, membership_polled=polled, drain_grace=DRAIN_GRACE
     )
 
 
@@ -142,7 +122,7 @@
     for polled in (True, False):
         for service_time in SERVICE_TIMES:
             for makes_further_calls in (False, True):
-                fleet = Fleet(settings(polled), service_time, makes_further_calls)
+                fleet = Fleet(fleet_settings(polled), service_time, makes_further_calls)
                 fleet.run()
                 answered = sorted(caller.answered_at or ENDS_AT for caller in fleet.callers)
                 calls = sum(caller.calls for caller in fleet.callers)
--- a/benchmarks/membership_cost.py
+++ b/benchmarks/membership_cost.py
@@ -14,9 +14,8 @@
 
 import numpy as np
 import orjson
-from common import machine
+from common import engine_settings, machine
 
-from gingervane import interface as api
 from gingervane.decisions.engine import DecisionEngine
 from gingervane.fake_servers.consul_catalogue import Catalogue
 from gingervane.membership.consul import EntryFieldNames, EntryReader
@@ -74,7 +73,7 @@
     """Passes each list of a catalogue to a decision engine, as built and in the plain way."""
 
     def __init__(self, count: int, stopwatch: Stopwatch) -> None:
-        settings = module_settings(count)
+        settings = engine_settings(count)
         self._count = count
         self._measure = stopwatch.measure
         self._reader = EntryReader(EntryFieldNames(), ZONES, count, 0.0)
@@ -116,7 +115,7 @@
     """Measure the look-up of a shard's replicas, by index and by a scan of all replicas."""
     servers = list(module.membership.replicas.values())
     by_cell = module.membership.holders_by_cell
-    width = module_settings(count).cells_per_replica
+    width = engine_settings(count).cells_per_replica
 
     def scan(cell: int) -> list[Any]:
         return [server for server in servers if (server.endpoint.cell - cell) % count < width]
@@ -146,45 +145,6 @@
         print(f"  {title}: {total:.1f} ms a change")
 
 
-def module_settings(count: int) -> api.Settings:
-    look = api.QueryClass(
-        latency_objective=1.5,
-        deadline=5.0,
-        retry_safety=api.RetrySafety.IDEMPOTENT,
-        idempotency_window=None,
-        second_step_parts=0,
-        required_coverage=1.0,
-        complete_coverage=1.0,
-        objective_stretch=None,
-        late_answer_value=0.0,
-        partial_answer_value=1.0,
-    )
-    return api.Settings(
-        coordinator_count=1,
-        zone=0,
-        query_classes=(look,),
-        tenant_quotas=(),
-        timer_granularity=0.005,
-        cell_count=count,
-        cells_per_replica=3,
-        max_parts_per_request=8,
-        max_attempts=3,
-        cancellation_allowed=True,
-        gossip_allowed=False,
-        hedging_allowed=True,
-        retry_after_allowed=True,
-        max_retry_after=1.0,
-        membership_polled=False,
-        slow_start_capacity=0.2,
-        slow_start_duration=15.0,
-        overload_window=2.0,
-        overload_multiple=4.0,
-        retry_budget_free=None,
-        retry_budget_share=None,
-        retry_budget_window=None,
-    )
-
-
 if __name__ == "__main__":
     print(machine())
     measure_update_cost()
