--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -201,6 +201,8 @@
                 self.observer.replica_health_changed(change)
             case t.WatchMembership():
                 self._ports.watch_membership()
+            case t.AcceptQueries():
+                self._ports.report_ready()
             case t.SendToPeers(payload):
                 self._ports.send_to_peers(payload)
 
--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -252,6 +252,8 @@
                 return [t.ReplicaHealthChanged(action)]
             case api.WatchMembership():
                 return [t.WatchMembership()]
+            case api.AcceptQueries():
+                return [t.AcceptQueries()]
             case api.SendToPeers(payload):
                 return [t.SendToPeers(payload)]
         return []
--- a/gingervane/coordinator/ports.py
+++ b/gingervane/coordinator/ports.py
@@ -69,6 +69,10 @@
     """Do nothing: membership is not watched."""
 
 
+def _ignore_readiness() -> None:
+    """Do nothing: readiness is not reported."""
+
+
 def _ignore_message(payload: bytes) -> None:
     """Do nothing: there are no peers."""
 
@@ -78,3 +82,4 @@
 
     watch_membership: Callable[[], None] = _ignore_watch
     send_to_peers: Callable[[bytes], None] = _ignore_message
+    report_ready: Callable[[], None] = _ignore_readiness
--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -338,6 +338,10 @@
     """Watch membership: discovery pushes its changes from now on."""
 
 
+class AcceptQueries(NamedTuple):
+    """Tell the platform that this co-ordinator is ready."""
+
+
 class SendToPeers(NamedTuple):
     """Send a message to every other co-ordinator."""
 
@@ -353,5 +357,6 @@
     | LogMessage
     | ReplicaHealthChanged
     | WatchMembership
+    | AcceptQueries
     | SendToPeers
 )
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -106,6 +106,7 @@
         self._dispatcher.begin_batch()
         if self.context.batch == 1:
             self.membership.watch.start()
+            self.membership.readiness.start()
         # Events received during a pause of this process are handled before any timer. Otherwise replicas that have
         # answered would count as unresponsive.
         for event in sorted(events, key=_is_timer):
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -311,6 +311,11 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptQueries:
+    """Tell the platform that this co-ordinator is ready. Only for hosts that ask for it."""
+
+
 class SendToPeers(NamedTuple):
     """A message to every other co-ordinator; it may be lost."""
 
@@ -346,6 +351,7 @@
     | QueryEnd
     | SetTimer
     | WatchMembership
+    | AcceptQueries
     | SendToPeers
     | LogMessage
     | ReplicaHealthChange
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -49,7 +49,9 @@
 PARALLEL_WATCH_CALLS = 3
 # Platform protocol: seconds after a change at a reachable discovery by which a co-ordinator counts as notified of it.
 NOTIFIED_WITHIN = 6.0
-WATCH_OPTIONS = WatchOptions(PARALLEL_WATCH_CALLS, NOTIFIED_WITHIN, pushed_on_request=True)
+WATCH_OPTIONS = WatchOptions(
+    PARALLEL_WATCH_CALLS, NOTIFIED_WITHIN, pushed_on_request=True, reports_readiness=True
+)
 _MAX_RESULT_BYTES = 64 << 20  # results of all open queries
 _MAX_HEAD_BYTES = 16384  # head of a client's request
 _MAX_BODY_BYTES = 65536  # body of a client's request
@@ -70,6 +72,7 @@
         """Build all components and bind the port. `telemetry`: if None, the node starts its own."""
         self._path = path
         self._config = config
+        self._is_stopping = False  # a co-ordinator that becomes ready meanwhile is not reported as such
         self.telemetry = telemetry or _started_telemetry(config)
         budget = divide_descriptors(config.max_sockets)
         reader = EndpointListReader(config.zones, ReplicaStartTimes(), self.telemetry.info)
@@ -101,7 +104,7 @@
             admission,
             QueryLog(self.telemetry, config.class_names, reader.host_name),
             lambda report: ReplicaConnections(limits, report, on_closed=self._replica_connection_closed),
-            ClusterPorts(self._watch_membership, self._send_to_peers),
+            ClusterPorts(self._watch_membership, self._send_to_peers, self._report_ready),
             batch_interval=settings.timer_granularity,
         )
 
@@ -174,6 +177,12 @@
     def _watch_membership(self) -> None:
         self.watch.request_watch()
 
+    def _report_ready(self) -> None:
+        self.front.ready = True
+        if self._is_stopping:  # checked last, as the main thread may begin to stop at any moment
+            self.front.ready = False
+        self.telemetry.info(LogEvent.READY)
+
     def _send_to_peers(self, payload: bytes) -> None:
         if self._peers:
             self._peers.send(payload)
@@ -185,7 +194,6 @@
         if self._peers:
             self._peers.start()
         self.core.start()
-        self.front.ready = True
 
     def reload(self) -> None:
         """Read the configuration file again and watch discovery at the address that it now has."""
@@ -205,6 +213,7 @@
         which may be restarting too. Queries still open at the end are rejected, or failed where a rejection would be
         unsafe, early enough for the clients to read the reply.
         """
+        self._is_stopping = True
         self.front.ready = False
         time.sleep(self._draining_seconds())
         self.end()
--- a/gingervane/telemetry/events.py
+++ b/gingervane/telemetry/events.py
@@ -75,6 +75,7 @@
     CLASS_SETTINGS = "class_settings", "At start: what the platform demands of a query class."
     SETTINGS = "settings", "At start: what the platform demands of the node."
     LISTENING = "listening", "Requests are accepted from now on."
+    READY = "ready", "The node is reported as ready: it has a list, or discovery has not sent one."
     CONFIGURATION_RELOADED = "configuration_reloaded", "SIGHUP: the configuration was read again."
     CONFIGURATION_RELOAD_FAILED = (
         "configuration_reload_failed",
--- a/tests/test_unanswered_discovery_calls.py
+++ b/tests/test_unanswered_discovery_calls.py
@@ -161,3 +161,17 @@
     finally:
         discovery.close()
         platform.close()
+
+
+# Guards against a node that is ready on the list of its configuration, which may hold a removed replica.
+def test_where_lists_are_pushed_a_node_is_ready_with_its_first_list(tmp_path: Path) -> None:
+    discovery, replica = ScriptedDiscovery(), Replica(0)
+    platform = Platform(tmp_path, replica, settings=PUSH_SETTINGS, where=discovery.where)
+    try:
+        sock = discovery.sock(1)
+        assert not platform.node.front.ready
+        sock.sendall(HEAD + chunk(line(1, host(replica))))
+        wait_until(lambda: platform.node.front.ready, "the node is ready")
+    finally:
+        discovery.close()
+        platform.close()
