--- a/gingervane/fronts/connection_poller.py
+++ b/gingervane/fronts/connection_poller.py
@@ -10,7 +10,9 @@
 import contextlib
 import errno
 import select
+import time
 from collections import Counter
+from collections.abc import Callable
 
 from gingervane.fronts.client_connection import ClientConnection, Phase
 from gingervane.wire.local_failures import retry_local_failures
@@ -23,6 +25,8 @@
         self._epoll = retry_local_failures(select.epoll)
         self._listener_descriptor = listener_descriptor
         self._unarmed = dict[ClientConnection, None]()
+        self._polled_at = time.monotonic()  # end of the last wait
+        self.events_since = self._polled_at  # earliest time at which the last events may have occurred
         self.failures: Counter[str] = Counter()  # failed system calls, by call and error
 
     def start(self) -> None:
@@ -31,8 +35,21 @@
             lambda: self._epoll.register(self._listener_descriptor, select.EPOLLIN | select.EPOLLONESHOT)
         )
 
-    def wait(self, timeout: float) -> list[tuple[int, int]]:
-        """Wait up to `timeout` seconds for events; return each as a file descriptor and its event mask."""
+    def wait(self, timeout: Callable[[], float]) -> list[tuple[int, int]]:
+        """Wait for events; return each as a file descriptor and its event mask.
+
+        `timeout`: returns the longest wait in seconds; called if no event is pending yet.
+        """
+        events = self._poll(0.0)
+        if events:  # they may have occurred while those before them were handled
+            self.events_since = self._polled_at
+        else:
+            events = self._poll(timeout())
+            self.events_since = time.monotonic()
+        self._polled_at = time.monotonic()
+        return events
+
+    def _poll(self, timeout: float) -> list[tuple[int, int]]:
         try:
             return self._epoll.poll(timeout)
         except OSError:  # must not end the only thread that accepts connections
--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -88,7 +88,6 @@
         self._closing = dict[ClientConnection, None]()
         self._accept_paused_until = 0.0
         self._backlog = BacklogAge(limits.backlog)
-        self._polled_at = self._events_since = time.monotonic()  # changed by the polling thread alone
         self._accepting = True
         self._shutting_down = False
         self._stopped = threading.Event()
@@ -158,7 +157,7 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            for descriptor, _ in self._wait_for_events():
+            for descriptor, _ in self._poller.wait(self._poll_timeout):
                 if descriptor == self._listener_descriptor and descriptor not in self._open:
                     with self._lock:
                         self._accept_pending(_ACCEPTS_PER_TURN)
@@ -172,17 +171,6 @@
                 self._accepting = False
                 self._listener.close()
 
-    def _wait_for_events(self) -> list[tuple[int, int]]:
-        """Wait for events, and determine since when they may have been pending."""
-        events = self._poller.wait(0.0)
-        if events:  # they may have occurred while those before them were handled
-            self._events_since = self._polled_at
-        else:
-            events = self._poller.wait(self._poll_timeout())
-            self._events_since = time.monotonic()
-        self._polled_at = time.monotonic()
-        return events
-
     def _poll_timeout(self) -> float:
         """Return the seconds until the next timeout is due."""
         limits = self._limits
@@ -244,7 +232,7 @@
 
     def _accept_pending(self, most: int) -> None:
         """Accept up to `most` connections in the backlog, and request an event for the next one."""
-        self._backlog.begin_turn(self._events_since)
+        self._backlog.begin_turn(self._poller.events_since)
         for _ in range(most if self._accepting else 0):
             if len(self._closing) >= MAX_CLOSING:  # frees a descriptor for the next connection
                 self._close_oldest()
@@ -318,8 +306,8 @@
         elif not has_data:
             self._close_disconnected(connection)
         else:
-            earliest = max(self._events_since, connection.idle_since)
-            if connection in self._awaiting_first_byte and self._events_since <= connection.idle_since:
+            earliest = max(self._poller.events_since, connection.idle_since)
+            if connection in self._awaiting_first_byte and self._poller.events_since <= connection.idle_since:
                 earliest = connection.connected_since  # its data may have waited in the backlog with it
             self._awaiting_first_byte.pop(connection, None)
             self._idle.pop(connection, None)
--- a/tests/test_unanswered_discovery_calls.py
+++ b/tests/test_unanswered_discovery_calls.py
@@ -18,6 +18,7 @@
     Platform,
     Replica,
     ScriptedDiscovery,
+    Wire,
     chunk,
     host,
     line,
@@ -38,11 +39,6 @@
     sock.sendall(data[: len(data) - 8])
 
 
-def reset(sock: socket.socket) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-    sock.close()
-
-
 # What discovery does with a call before it falls silent.
 SILENCES: dict[str, Callable[[socket.socket], None]] = {
     "nothing": lambda sock: None,
@@ -137,7 +133,7 @@
 def test_a_reset_call_after_a_change_of_address_and_then_a_silent_one(deployment: Deployment) -> None:
     deployment.list_both(deployment.first.sock(1))
     deployment.move(deployment.second)
-    reset(deployment.second.sock(1))
+    Wire(deployment.second.sock(1)).reset()
     deployment.second.sock(2)
     deployment.assert_removal_is_learnt(deployment.second.sock(3))
 
