--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -299,19 +299,24 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def host(replica: Replica, name: str = "", health: str = "SERVING") -> dict[str, Any]:
+def endpoint_entry(name: str, dial: str, cell: int = 0, health: str = "SERVING") -> dict[str, Any]:
+    """An entry of discovery's list."""
     return {
-        "host": name or f"s-{replica.port}",
-        "dial": f"127.0.0.1:{replica.port}",
+        "host": name,
+        "dial": dial,
         "site": "a",
         "class": "m",
-        "block": replica.cell,
+        "block": cell,
         "health": health,
         "share": 1.0,
         "born_ms": 0,
     }
 
 
+def host(replica: Replica, name: str = "", health: str = "SERVING") -> dict[str, Any]:
+    return endpoint_entry(name or f"s-{replica.port}", f"127.0.0.1:{replica.port}", replica.cell, health)
+
+
 SETTINGS: dict[str, Any] = {
     "Balancers": 1,
     "Locality": 0,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -24,6 +24,7 @@
     Replica,
     ScriptedDiscovery,
     chunk,
+    endpoint_entry,
     host,
     line,
     wait_until,
@@ -38,16 +39,7 @@
 
 
 def entry(health: str = "SERVING") -> dict[str, Any]:
-    return {
-        "host": "s-1",
-        "dial": "127.0.0.1:80",
-        "site": "a",
-        "class": "m",
-        "block": 0,
-        "health": health,
-        "share": 1.0,
-        "born_ms": 0,
-    }
+    return endpoint_entry("s-1", "127.0.0.1:80", health=health)
 
 
 class WatchHarness:
--- a/tests/test_discovery_watch_model.py
+++ b/tests/test_discovery_watch_model.py
@@ -18,7 +18,7 @@
 from hosts import BASE
 from hypothesis import example, given
 from hypothesis import strategies as st
-from platform_fakes import WAIT_TIMEOUT_SECONDS, RecordedLog, line
+from platform_fakes import WAIT_TIMEOUT_SECONDS, RecordedLog, endpoint_entry, line
 
 from gingervane import interface as api
 from gingervane.coordinator.replica_start_times import ReplicaStartTimes
@@ -35,16 +35,7 @@
 STARTED_AT = 100.0  # simulated seconds
 MAX_SECONDS_WITHOUT_CALL = MAX_BACKOFF * MAX_JITTER
 QUIET_SECONDS = 20.0  # at the end of each sequence, in which nothing is answered
-ENTRY = {
-    "host": "s-1",
-    "dial": "127.0.0.1:80",
-    "site": "a",
-    "class": "m",
-    "block": 0,
-    "health": "SERVING",
-    "share": 1.0,
-    "born_ms": 0,
-}
+ENTRY = endpoint_entry("s-1", "127.0.0.1:80")
 
 
 class ScriptedCall(DiscoveryCall):
