--- a/tests/test_client_disconnects.py
+++ b/tests/test_client_disconnects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
 import time
@@ -27,6 +28,8 @@
 from gingervane.coordinator.core import QueryCoordinator
 from gingervane.fronts.client_connection import is_disconnected
 
+FULL_BUFFER_SECONDS = 0.3  # without progress of a send, after which the buffers count as full
+
 
 def closes(sock: socket.socket) -> None:
     sock.close()
@@ -68,6 +71,24 @@
     platform.close()
 
 
+# Guards against an end of stream that stays hidden while the client's further bytes fill the receive buffer.
+def test_a_client_that_disconnects_behind_a_full_receive_buffer(tmp_path: Path) -> None:
+    unresponsive = Replica(0, lambda wire, part: None)
+    classes = [kind | {"AimS": 50.0, "DeadlineS": 60.0} for kind in SETTINGS["Classes"]]
+    platform = Platform(tmp_path, unresponsive, settings=SETTINGS | {"Classes": classes})
+    sock = platform.client()
+    sock.sendall(query("q", {0: 1.0}, timeout_ms=60_000))
+    unresponsive.parts.wait(1, lambda part: part.id == "q.0")
+    sock.settimeout(FULL_BUFFER_SECONDS)
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        while True:
+            sock.sendall(query("behind", {1: 1.0}))
+    sock.close()
+    assert unresponsive.cancels.wait() == ["q.0"]
+    assert received_part_ids(platform) == ["q.0"]
+    platform.close()
+
+
 @pytest.mark.parametrize("disconnect_client", DISCONNECTS)
 def test_a_client_that_disconnected_before_its_request_was_read(
     platform: Platform,
--- a/tests/test_client_front.py
+++ b/tests/test_client_front.py
@@ -16,6 +16,7 @@
     query,
     reply,
     request,
+    wait_until,
 )
 
 UNUSUAL_CLASS_NAMES = ("ready", "hut nights, s\u00f8k/100%", "v1.%20_x~")
@@ -108,3 +109,35 @@
         assert platform.ask("q", {0: 1.0})[0] == 409
         assert len([p for p in silent.parts.items if p.id == "q.0"]) == 1
     platform.close()
+
+
+# Guards against an effect that happens twice because the id of a request is free as soon as its client leaves.
+def test_the_id_of_an_unsafe_request_that_may_have_run_is_not_executed_again(tmp_path: Path) -> None:
+    silent = Replica(0, lambda wire, part: None)
+    platform = Platform(tmp_path, silent)
+    with platform.client() as sock:
+        sock.sendall(query("q", {0: 1.0}, "/book"))
+        silent.parts.wait()
+    wait_until(lambda: not platform.node.core.admission.open, "the query has ended")
+    assert platform.ask("q", {0: 1.0}, "/book")[0] == 409
+    assert [part.id for part in silent.parts.items] == ["q.0"]
+    platform.close()
+
+
+# Guards against an effect that happens twice because the id of a request is free once it is answered.
+def test_the_id_of_an_answered_unsafe_request_is_not_executed_again(platform: Platform) -> None:
+    with platform.client() as sock:
+        assert platform.ask("q", {0: 1.0}, "/book", sock=sock)[0] == 200
+        assert platform.ask("q", {0: 1.0}, "/book", sock=sock)[0] == 409
+    assert sum(len(replica.parts.items) for replica in platform.replicas) == 1
+
+
+def test_the_id_of_an_unsafe_request_that_never_ran_is_free_again(platform: Platform) -> None:
+    platform.node.core.close()
+    assert platform.ask("q", {0: 1.0}, "/book")[0] == 503
+    platform.node.core.admission.reopen("shutting down")
+    assert platform.ask("q", {0: 1.0}, "/book")[0] == 200
+
+
+def test_the_id_of_an_idempotent_request_may_come_again(platform: Platform) -> None:
+    assert [platform.ask("q", {0: 1.0})[0] for _ in range(2)] == [200, 200]
