The id of an unsafe request that may have run is held after the request has ended

Cause: ClientFront freed the id of a request as it ended; attempts that may have run, or may yet, were out. The same held for an id that came again after its answer. Why this works: the driver tells with each result whether it is proved that no attempt ran (QueryResult.may_have_run); if it is not, the id of a class that is not idempotent stays in a bounded table, and the request is answered 409, never forwarded. PROTOCOL.md: 'X-Request-ID: new on each request, a client's retry included', and of a reset, a timeout or an error 'it may have' run. An id leaves the table only when no attempt can be running (the deadline that replicas were told at most has passed) and room is needed; while the table is full of ids that may still run, further requests of such classes are refused with 503, before anything is sent. Idempotent classes are as before: their effect may be repeated. SIGHUP keeps the front and so its table. A new process knows nothing of the one before: an open risk. Class: a name is freed by the end of its request and not by the proof that its effect is over.

--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -324,9 +324,11 @@
         increment(self.counts.reasons, completion.reason.value)
         increment(self.counts.verdicts, completion.status.value)
         effects.append(t.CompleteQuery(query.submitted.on_result, result, query_id))
+        parts = self._open.parts_of(query)  # ending an attempt may forget its part
         for part_id in query.part_ids:
             self._deferred_events += self._attempts.withhold_unsent(part_id, now, effects)
             self._open.forget_part(part_id)
+        result.may_have_run = any(part.may_have_run for part in parts)
 
 
 def _finish_effects(effects: list[t.Effect]) -> list[t.Effect]:
--- a/gingervane/coordinator/open_queries.py
+++ b/gingervane/coordinator/open_queries.py
@@ -68,6 +68,11 @@
     possible_executions: int = 0  # ended attempts that may have run
     in_flight: dict[int, OpenAttempt] = field(default_factory=dict)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt of the part has run, may have, or may yet."""
+        return bool(self.possible_executions or self.in_flight)
+
     def begin_attempt(self, now: float, replica: int) -> OpenAttempt:
         """Create the next attempt and register it as in flight."""
         earlier_executions = self.possible_executions + len(self.in_flight)
@@ -140,6 +145,10 @@
             self.result_bytes -= query.result_bytes
         return query
 
+    def parts_of(self, query: OpenQuery) -> list[OpenPart]:
+        """Return the parts of both steps of an open query."""
+        return [self.parts[part_id] for part_id in query.part_ids]
+
     def remove_all(self) -> list[OpenQuery]:
         """Remove and return all queries, after a failure that leaves the rest of the state unusable."""
         removed = list(self.queries.values())
--- a/gingervane/coordinator/query_completion.py
+++ b/gingervane/coordinator/query_completion.py
@@ -80,8 +80,7 @@
     completions: dict[int, Completion] = {}
     for query in open_queries.queries.values():
         query_class = settings.query_classes[query.submitted.plan.query_class]
-        parts = [open_queries.parts[part_id] for part_id in query.part_ids]
-        may_have_run = any(part.possible_executions or part.in_flight for part in parts)
+        may_have_run = any(part.may_have_run for part in open_queries.parts_of(query))
         safe_to_retry = query_class.retry_safety is api.RetrySafety.IDEMPOTENT or not may_have_run
         status = t.QueryStatus.REJECTED if safe_to_retry else t.QueryStatus.FAILED
         completions[query.id] = shutdown_completion(status)
--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -133,6 +133,7 @@
     step: int = 1  # the step in which the query ended
     parts_requested: int = 0  # parts of that step
     parts_received: int = 0  # answered parts of that step, also if the status carries no results
+    may_have_run: bool = True  # false only if it is proved that no attempt of the query ran
 
 
 # Receives the result of a query. Called exactly once, on the decision thread; must not block.
--- a/gingervane/node/client_front.py
+++ b/gingervane/node/client_front.py
@@ -1,25 +1,28 @@
 """The platform's client protocol: turns an HTTP request into a query plan, and the query's result into the reply.
 
 Parsing is strict: an invalid request is answered with a 4xx status and reaches no replica. Called by the HTTP
-server's threads, which share the ids of open queries under a lock. Every decision about an admitted query is made by
-the decision engine.
+server's threads, which share the ids of requests. Every decision about an admitted query is made by the decision
+engine.
 """
 
 from __future__ import annotations
 
 import re
+import time
+from collections import Counter
 from collections.abc import Callable
-from threading import Lock
 from typing import Any
 from urllib.parse import unquote
 
 import orjson
 
+from gingervane import interface as api
 from gingervane.coordinator import types as t
 from gingervane.coordinator.admission import Rejected
 from gingervane.coordinator.core import QueryCoordinator
 from gingervane.fronts.http_server import Exchange, Reply, plain
 from gingervane.node.replica_connection_types import FrameCodec, PartResult
+from gingervane.node.request_ids import IdState, RequestIds
 from gingervane.wire.frames import SubqueryRequest
 from gingervane.wire.http1 import HttpError, Request
 
@@ -35,6 +38,11 @@
 }
 _JSON = ("Content-Type", "application/json")
 _HEALTH_PATHS = ("/ready", "/health")
+_ID_REFUSALS = {
+    IdState.OPEN: "a request with this id is open",
+    IdState.HELD: "a request with this id may have run",
+    IdState.NO_ROOM: "too many requests of this class may still be running",
+}
 
 SecondStep = Callable[[dict[int, PartResult], bool], tuple[t.PartPlan, ...]]
 
@@ -47,8 +55,8 @@
         self._shards = shards
         self._classes = {name: class_index for class_index, name in enumerate(class_names)}
         self._codec = FrameCodec()
-        self._lock = Lock()
-        self._open_ids = set[str]()
+        self._ids = RequestIds()
+        self.refusals = Counter[str]()  # requests that were refused before admission, by reason
         self.ready = False
 
     def handle(self, request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
@@ -64,13 +72,23 @@
         except HttpError as error:
             return plain(error.status, error.detail)
         if client.is_disconnected():  # a client may disconnect before its request is read
+            self.refusals["client left"] += 1
             return plain(500, "its client has left", close=True)
-        with self._lock:
-            if query_id in self._open_ids:
-                return plain(409, "X-Request-ID: a request with this id is open")
-            self._open_ids.add(query_id)
+        state = self._ids.begin(query_id, self._is_repeatable(plan), time.monotonic())
+        if state is not IdState.NEW:
+            self.refusals[state.value] += 1
+            return self._id_refusal(state)
         return self._run_query(query_id, plan, client)
 
+    def _is_repeatable(self, plan: t.QueryPlan) -> bool:
+        query_class = self._core.settings.query_classes[plan.query_class]
+        return query_class.retry_safety is api.RetrySafety.IDEMPOTENT
+
+    def _id_refusal(self, state: IdState) -> Reply:
+        if state is IdState.NO_ROOM:
+            return _rejection(_ID_REFUSALS[state], self._core.settings.max_retry_after)
+        return plain(409, f"X-Request-ID: {_ID_REFUSALS[state]}")
+
     def _health(self, request: Request) -> Reply:
         if request.method not in ("GET", "HEAD"):
             return plain(405, "only GET here", fields=(("Allow", "GET"),))
@@ -81,21 +99,18 @@
         try:
             pending = self._core.submit(plan)
         except Rejected as error:
-            self._forget(query_id)
+            self._ids.end(query_id, may_have_run=False, runs_until=0.0)
             return _rejection(str(error), error.retry_after)
         client.watch(pending.abandon)
         result = pending.wait()
 
         def release() -> None:
-            self._forget(query_id)
+            # An attempt is told at most the time up to the query's deadline, so that it runs no longer.
+            self._ids.end(query_id, result.may_have_run, plan.deadline)
             pending.release()
 
         return self._reply(result)._replace(done=release)
 
-    def _forget(self, query_id: str) -> None:
-        with self._lock:
-            self._open_ids.discard(query_id)
-
     def _reply(self, result: t.QueryResult) -> Reply:
         if result.status in (t.QueryStatus.COMPLETE, t.QueryStatus.PARTIAL):
             parts: list[PartResult] = list(result.results.values())
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -155,6 +155,7 @@
         self.telemetry.add_source("discovery_calls", self.watch.call_ends)
         self.telemetry.add_source("discovery_silence", self.watch.longest_gap)
         self.telemetry.add_source("client_connections_ended", lambda: self.server.close_reasons)
+        self.telemetry.add_source("client_requests_refused", lambda: self.front.refusals)
         self.telemetry.add_source("client_calls_failed", lambda: self.server.failures)
 
     def _request_handler_failed(self, error: BaseException) -> None:
--- a/tests/test_client_front.py
+++ b/tests/test_client_front.py
@@ -111,7 +111,7 @@
     platform.close()
 
 
-# Guards against an effect that happens twice because the id of a request is free as soon as its client leaves.
+# Guards against an effect that happens twice because an id is free as soon as its client leaves.
 def test_the_id_of_an_unsafe_request_that_may_have_run_is_not_executed_again(tmp_path: Path) -> None:
     silent = Replica(0, lambda wire, part: None)
     platform = Platform(tmp_path, silent)
@@ -124,7 +124,7 @@
     platform.close()
 
 
-# Guards against an effect that happens twice because the id of a request is free once it is answered.
+# Guards against an effect that happens twice because an id is free once it is answered.
 def test_the_id_of_an_answered_unsafe_request_is_not_executed_again(platform: Platform) -> None:
     with platform.client() as sock:
         assert platform.ask("q", {0: 1.0}, "/book", sock=sock)[0] == 200
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -1,4 +1,4 @@
-"""A node with the least memory and the most descriptors that the platform gives, beside clients that misuse it.
+"""A node with the least memory and the most descriptors of the platform, beside clients that misuse it.
 
 The bound is the limit of its configuration; the platform ends a process that passes it.
 """
