Test of a move of discovery: lists are told apart from an interrupted call

Traced: the call to the first address had read its list and was moved before it followed; such a call is reported as interrupted beside its list (docs/design/node.md, 'a list on a superseded call'), and the test took the third report for the third list. It waits for the first list now and compares all three lists, which is stricter.

--- a/tests/test_json_values.py
+++ b/tests/test_json_values.py
@@ -13,6 +13,7 @@
 
 from gingervane.coordinator import types as t
 from gingervane.coordinator.replica_start_times import ReplicaStartTimes
+from gingervane.coordinator.types import EndpointsUpdated
 from gingervane.node import discovery_call
 from gingervane.node.config import parse_address
 from gingervane.node.discovery import DiscoveryWatch
@@ -61,6 +62,11 @@
         self.watch.change_address(parse_address(address, "discovery"))
 
 
+def is_list(update: object) -> bool:
+    """Whether a report is a list: a call that is moved before it follows is reported as interrupted too."""
+    return isinstance(update, EndpointsUpdated)
+
+
 def split_at(data: bytes, sizes: list[int]) -> list[bytes]:
     pieces = []
     for size in sizes:
@@ -150,12 +156,12 @@
     first, other = Discovery([entry(1)]), Discovery([entry(2)])
     first.version, other.version = 41, 3
     watched = WatchedDiscovery(first.address)
-    first.watches.wait()
+    watched.updates.wait(1, is_list)
     watched.change_address(other.address)
     assert other.watches.wait()[0].endswith("since=0")
-    watched.updates.wait(2)
+    watched.updates.wait(2, is_list)
     other.change(entry(3))
-    assert watched.updates.wait(3)[2].membership.replicas[0].cell == 3
+    assert [u.membership.replicas[0].cell for u in watched.updates.wait(3, is_list)] == [1, 2, 3]
     watched.watch.stop()
     first.close()
     other.close()
