--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -19,7 +19,7 @@
 from gingervane.coordinator.admission import Admission, AdmissionLimits
 from gingervane.coordinator.driver import DecisionEngineProtocol, Driver
 from gingervane.coordinator.driver_counts import Counts
-from gingervane.coordinator.pending_queries import PendingQuery, ResultQueue
+from gingervane.coordinator.pending_queries import PendingQuery, ResultReceiver
 from gingervane.coordinator.ports import ClusterPorts, QueryObserver, TransportFactory
 from gingervane.coordinator.request_senders import RequestSenders, SenderLimits
 from gingervane.decisions.engine import DecisionEngine
@@ -76,10 +76,10 @@
         """Batch requests that are being sent or wait for a sender."""
         return self._transport.in_flight
 
-    def submit(self, plan: t.QueryPlan, results: ResultQueue | None = None) -> PendingQuery:
+    def submit(self, plan: t.QueryPlan, results: ResultReceiver | None = None) -> PendingQuery:
         """Submit a query, or raise `Rejected` without having started any part of it.
 
-        `results`: the queue for its result, for callers that wait for several queries at once.
+        `results`: receives its result, for callers that wait for several queries at once or for none.
         """
         # Without the lock a query admitted just before the shutdown could be queued after it and never be read.
         with self._submit_lock:
--- a/gingervane/coordinator/pending_queries.py
+++ b/gingervane/coordinator/pending_queries.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 from queue import SimpleQueue
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from gingervane.coordinator import types as t
 from gingervane.coordinator.admission import Admission
@@ -19,6 +19,13 @@
     result: t.QueryResult
 
 
+class ResultReceiver(Protocol):
+    """Receives the result of a submitted query. Called on the decision thread; must not block."""
+
+    def put(self, item: CompletedQuery) -> None:
+        """Take a query and its result."""
+
+
 class ResultQueue(SimpleQueue[Any]):
     """Receives a `CompletedQuery` for each query that was submitted with this queue.
 
@@ -36,15 +43,18 @@
         admission: Admission,
         observer: QueryObserver,
         on_abandon: Callable[[int], None],
-        results: ResultQueue | None,
+        results: ResultReceiver | None,
     ) -> None:
-        """`results`: the queue for its result; None: a queue of its own."""
+        """`results`: receives its result; None: a queue of its own, for `wait`."""
         self.id = query_id
         self.plan = plan
         self._admission = admission
         self._observer = observer
         self._on_abandon = on_abandon
-        self._results = ResultQueue() if results is None else results
+        self._own_results: ResultQueue | None = None
+        if results is None:
+            results = self._own_results = ResultQueue()
+        self._receiver = results
         self._submitted_at = time.monotonic()
         self._result_bytes = 0
 
@@ -53,11 +63,12 @@
         self._result_bytes = result.result_bytes
         self._admission.reserve_results(result.result_bytes)
         self._observer.query_completed(self.id, self.plan, result, time.monotonic() - self._submitted_at)
-        self._results.put(CompletedQuery(self, result))
+        self._receiver.put(CompletedQuery(self, result))
 
     def wait(self) -> t.QueryResult:
         """Wait for the result of a query with a queue of its own; the decision engine ends it by its deadline."""
-        completed: CompletedQuery = self._results.get()
+        assert self._own_results is not None, "its result goes to a receiver"
+        completed: CompletedQuery = self._own_results.get()
         return completed.result
 
     def abandon(self) -> None:
--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -234,7 +233,7 @@
         """`expires_at`: the deadline of this attempt; the batch expires with the last of its attempts."""
         self.part, self.attempt, self.content, self.retry_safety = part, attempt, content, retry_safety
         self.expires_at = expires_at
-        self._unclaimed = deque((True,))
+        self._unclaimed = [True]  # popping it is atomic
 
     def claim(self) -> bool:
         """Claim the right to send the attempt or to end it unsent; true for the first caller only."""
--- a/gingervane/fronts/client_connection.py
+++ b/gingervane/fronts/client_connection.py
@@ -10,11 +10,18 @@
 import socket
 from collections.abc import Callable
 from enum import Enum
+from itertools import takewhile
 from math import inf
 from typing import NamedTuple
 
+from gingervane.fronts.connection_input import ConnectionInput
+from gingervane.fronts.connection_output import NextStep, UnsentReply
+from gingervane.wire.http1_messages import Limits
+from gingervane.wire.http1_parser import ReceivedRequest
 from gingervane.wire.local_failures import is_transient
 
+# What a thread serves next: a request, or the function that makes the reply to the one before.
+Work = ReceivedRequest | Callable[[], object]
 _MAX_SEND_ATTEMPTS = 20  # to send a rejection while the system is short of memory
 
 
@@ -24,7 +31,9 @@
     `max_connections` bounds the connections that are not closing. A connection is idle for at most
     `idle_timeout`, and may take `first_byte_timeout` to send its first byte (None: `idle_timeout` applies).
     When more than `eviction_threshold` connections are open, those that have been idle for `min_idle` may be
-    closed. The system queues up to `backlog` connections until they are accepted.
+    closed. The system queues up to `backlog` connections until they are accepted. The head of a request may take
+    `head_timeout` from its first byte on, its body `body_timeout` from then on, both within `message_limits`.
+    `max_threads`: that serve connections at once; None: one for each, as they may wait.
     """
 
     max_connections: int
@@ -33,6 +42,10 @@
     eviction_threshold: int
     min_idle: float
     backlog: int
+    head_timeout: float
+    body_timeout: float
+    message_limits: Limits
+    max_threads: int | None
 
     @property
     def effective_first_byte_timeout(self) -> float:
@@ -49,26 +62,25 @@
     EVICTED = "made room"
     OVER_LIMIT = "over the limit"
     NO_THREAD = "no thread"
+    INVALID_REQUEST = "invalid request"
+    REQUEST_TIMEOUT = "request not complete in time"
+    OUT_OF_MEMORY = "no memory for its request"
+    REPLY_UNREAD = "reply not read"
     AFTER_REPLY = "after its reply"
     SHUTDOWN = "shutdown"
     CLIENT_DISCONNECTED = "client left"
     FAILED_WHILE_ACTIVE = "broken at work"
 
 
-class NextStep(Enum):
-    """What the manager does with a connection once its requests have been served."""
-
-    KEEP_ALIVE = 0
-    CLOSE = 1  # shut down the sending side first, so that the client reads its last reply
-    DISCONNECTED = 2  # close at once, as reading or writing failed
-
-
 class Phase(Enum):
     """The phase of a connection; see `connections.py`."""
 
     IDLE = 0
-    ACTIVE = 1
-    CLOSING = 2
+    READING = 1
+    ACTIVE = 2
+    WRITING = 3
+    CLOSING = 4
+    CLOSED = 5
 
 
 def ignore_disconnect() -> None:
@@ -78,18 +90,57 @@
 class ClientConnection:
     """A client connection.
 
-    A worker that serves it may use `sock`, `request_started`, `last_reply` and `worker_state`. The other
-    attributes belong to the connection manager and are guarded by its lock.
+    The thread that serves it may use `sock`, `request_started`, `last_reply`, `keeps_alive`, `is_pipelined`,
+    `is_unsupervised`, `request_number` and `work`. The input belongs to the polling thread while the connection is
+    being read. The other attributes belong to the connection manager and are guarded by its lock.
     """
 
-    def __init__(self, sock: socket.socket, now: float, connected_since: float) -> None:
+    __slots__ = (
+        "close_deadline",
+        "connected_since",
+        "descriptor",
+        "discarded_bytes",
+        "discards_input",
+        "has_unparsed",
+        "idle_since",
+        "input",
+        "is_pipelined",
+        "is_unsupervised",
+        "keeps_alive",
+        "last_reply",
+        "next_step",
+        "on_disconnect",
+        "output",
+        "phase",
+        "read_deadline",
+        "registered",
+        "request_number",
+        "request_started",
+        "sock",
+        "waiting_for_thread_since",
+        "work",
+    )
+
+    def __init__(
+        self, sock: socket.socket, now: float, connected_since: float, input_: ConnectionInput
+    ) -> None:
         self.sock = sock
+        self.input = input_
+        self.output: UnsentReply | None = None
         self.connected_since = connected_since  # earliest time at which the client may have connected
         self.descriptor = sock.fileno()
         self.idle_since = now  # when it was accepted, or its previous request was finished
+        self.request_number = 0  # of requests served on this connection so far
         self.request_started = now  # earliest time at which the first byte of the current request arrived
+        self.read_deadline = inf  # for the rest of the head or of the body that is being read
         self.last_reply = -inf  # when the previous request was finished; -inf before the first request
-        self.worker_state: object = None  # state that the worker keeps between requests
+        self.work: Work | None = None  # for the next thread that serves the connection
+        self.next_step = NextStep.KEEP_ALIVE  # once the client has taken the reply
+        self.has_unparsed = False  # bytes were received that were not parsed yet
+        self.is_pipelined = False  # the current request arrived before the reply to the one before it
+        self.keeps_alive = True  # the current request asks for that
+        self.discards_input = False  # what follows the current request is not read as a request
+        self.is_unsupervised = False  # too much input waits to see whether the client has disconnected
         self.registered = False  # with the poller
         self.waiting_for_thread_since = 0.0  # start of a request for which no thread was available; 0: none
         self.phase = Phase.IDLE
@@ -145,3 +196,8 @@
 def expired(group: dict[ClientConnection, None], timeout: float, now: float) -> list[ClientConnection]:
     """Return the connections of a group that have been idle for `timeout` seconds."""
     return [connection for connection in group if connection.idle_since + timeout <= now]
+
+
+def past_read_deadline(group: dict[ClientConnection, None], now: float) -> list[ClientConnection]:
+    """Return the connections at the head of a group whose time to send their request has passed."""
+    return list(takewhile(lambda connection: connection.read_deadline <= now, group))
--- a/gingervane/fronts/connection_poller.py
+++ b/gingervane/fronts/connection_poller.py
@@ -56,12 +56,10 @@
             return []
 
     def arm(self, connection: ClientConnection) -> None:
-        """Request the next event of the connection: a disconnect if it is active, otherwise also input."""
-        active = connection.phase is Phase.ACTIVE
-        events = select.EPOLLRDHUP if active else select.EPOLLIN | select.EPOLLRDHUP
+        """Request the next event of the connection that matters in its phase."""
         request = self._epoll.modify if connection.registered else self._epoll.register
         try:
-            request(connection.descriptor, events | select.EPOLLONESHOT)
+            request(connection.descriptor, _events_of(connection) | select.EPOLLONESHOT)
             connection.registered = True
         except OSError as error:
             self.count_failure("epoll", error)
@@ -99,3 +97,14 @@
     def count_failure(self, call: str, error: OSError) -> None:
         """Count a system call that failed for lack of resources on this host."""
         self.failures[f"{call} {errno.errorcode.get(error.errno or 0, 'unknown')}"] += 1
+
+
+def _events_of(connection: ClientConnection) -> int:
+    """Return the events that matter in the connection's phase."""
+    if connection.phase is Phase.WRITING:
+        return select.EPOLLOUT
+    if connection.phase is Phase.ACTIVE and connection.is_unsupervised:
+        return select.EPOLLRDHUP
+    if connection.has_unparsed:  # the event comes at once
+        return select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLOUT
+    return select.EPOLLIN | select.EPOLLRDHUP
--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -1,19 +1,23 @@
-"""The life cycle of client connections: idle between requests, active, closing. Independent of HTTP.
+"""The life cycle of client connections: idle, being read, active, writing, closing. Independent of the handlers.
 
 Only the manager changes the phase of a connection, and only under its lock. So two racing events (a request
 arrives while its connection is closed, a client disconnects while its reply is written, a reply ends while
 the server shuts down) are handled one after the other, and the second sees the phase that the first has set.
-The lock is held only during calls that do not block, on sockets that are not active.
+The lock is held only during calls that do not block.
 
 - *Idle*: no byte of a request has been read. Only in this phase is a connection closed because it is unused
   or because capacity is short, and only while it has no unread data.
-- *Active*: a request has begun; one worker thread owns the socket. No other thread reads, writes or shuts it
-  down.
+- *Reading*: a request has begun and is not complete. It costs its bytes and no thread. If memory is short, the
+  request that is large and has been incomplete for the longest time is refused.
+- *Active*: a request is complete; a worker thread serves it, or its reply is awaited. What arrives meanwhile is
+  kept for the next request, up to the size of one, so that a disconnect behind it is noticed.
+- *Writing*: the client has not taken all of a reply. Nothing is read meanwhile.
 - *Closing*: the server's sending side is shut down. Input is discarded, never read as a request, within
   bounds on time, bytes and number of such connections. This keeps a reset from destroying the last reply, as
   happens when a socket is closed with unread data.
 
-One thread (`_run`) polls all connections; worker threads are started on demand.
+One thread (`_run`) polls all connections and reads them, a bounded number of bytes of each in turn; connections whose
+request needs more than one turn wait behind those with a new one. Worker threads are started on demand.
 """
 
 from __future__ import annotations
@@ -22,26 +26,34 @@
 import socket
 import threading
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
+from itertools import chain
 from math import inf
+from typing import NamedTuple
 
 from gingervane.fronts.backlog_age import BacklogAge
 from gingervane.fronts.client_connection import (
     ClientConnection,
     CloseReason,
     ConnectionLimits,
-    NextStep,
     Phase,
+    Work,
     expired,
     has_unread_data,
     ignore_disconnect,
     is_disconnected,
     oldest,
+    past_read_deadline,
 )
+from gingervane.fronts.connection_input import NO_ROOM, ConnectionInput, Received
+from gingervane.fronts.connection_output import NextStep, ReplyEnd, Sent, UnsentReply
 from gingervane.fronts.connection_poller import ConnectionPoller
 from gingervane.fronts.connection_workers import ConnectionWorkers
+from gingervane.limits.memory_budget import MemoryBudget, MemoryHolding, MemoryOwner
+from gingervane.wire.http1_messages import HttpError
+from gingervane.wire.http1_parser import ReceivedRequest
 from gingervane.wire.local_failures import is_transient, start_thread
 
 CLOSE_TIMEOUT = 0.5  # seconds that a connection may be closing
@@ -51,41 +63,64 @@
 _THREAD_WAIT_TIMEOUT = 0.3  # seconds that a request waits for a thread before it is rejected
 _MIN_POLL_TIMEOUT = 0.001  # seconds
 _MAX_POLL_TIMEOUT = 0.5  # seconds; bounds the delay until a timeout that another thread has set is noticed
-_RECEIVE_BYTES = 65536
+_RECEIVE_BYTES = 65536  # of a closing connection at once
+_FIRST_READ_BYTES = 2048  # of a new request in its turn; most requests are smaller
+_READ_BYTES = 16384  # of a request in each further turn
+_READS_PER_TURN = 4  # of connections whose request has taken a turn already
 _EVICTIONS_PER_ACCEPT = 2  # more than one, so that the number of connections shrinks
 _ACCEPTS_PER_TURN = 16  # of the polling thread, before it looks at the open connections again
 _EVICTION_CANDIDATES = 16  # silent connections that are examined to make room for a new one
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class ConnectionManager:
-    """All client connections of a listener.
+class ServerHooks(NamedTuple):
+    """What the manager needs of the server.
 
-    `serve` is called on a worker thread with a connection on which a request has begun, and returns what the
-    manager does with it next. `rejection` is the encoded reply to a connection that is over the limit.
+    `serve` is called on a worker thread with a connection that has `work`, and returns what the manager does with the
+    connection next. `encode_error` returns the reply to a request that could not be read, after which its connection
+    is closed. `rejection` is the encoded reply to a connection that is over a limit.
     """
 
+    serve: Callable[[ClientConnection], NextStep]
+    encode_error: Callable[[HttpError], bytes]
+    rejection: bytes
+
+
+class ConnectionManager:
+    """All client connections of a listener."""
+
     def __init__(
         self,
         listener: socket.socket,
         limits: ConnectionLimits,
-        serve: Callable[[ClientConnection], NextStep],
-        rejection: bytes,
+        hooks: ServerHooks,
+        budget: MemoryBudget,
     ) -> None:
         self._listener = listener
         self._limits = limits
-        self._serve_requests = serve
-        self._rejection = rejection
+        self._hooks = hooks
+        self._budget = budget
         listener.setblocking(False)
         self._lock = threading.Lock()
         self._all_closed = threading.Condition(self._lock)
         self._listener_descriptor = listener.fileno()
         self._poller = ConnectionPoller(self._listener_descriptor)
-        self._workers = ConnectionWorkers(self._serve, self._lock)
+        self._workers = ConnectionWorkers(self._serve, self._lock, limits.max_threads)
+        self._scratch = memoryview(bytearray(_READ_BYTES))  # of the polling thread
+        self._locked_scratch = memoryview(
+            bytearray(_FIRST_READ_BYTES)
+        )  # for input of active connections; under the lock
         self._open: dict[int, ClientConnection] = {}
         # Each of these groups is ordered from its oldest connection on.
         self._awaiting_first_byte = dict[ClientConnection, None]()
         self._idle = dict[ClientConnection, None]()
+        self._reading_head = dict[ClientConnection, None]()
+        self._reading_body = dict[ClientConnection, None]()
+        self._large = dict[ClientConnection, None]()  # those being read whose request is large
+        self._awaiting_thread = dict[ClientConnection, None]()
+        self._writing = dict[ClientConnection, None]()
         self._closing = dict[ClientConnection, None]()
+        self._further_reads = deque[ClientConnection]()  # readable, but their request has had a turn already
         self._accept_paused_until = 0.0
         self._backlog = BacklogAge(limits.backlog)
         self._accepting = True
@@ -108,6 +143,11 @@
         """Return the number of connections that are not closing."""
         return len(self._open) - len(self._closing)
 
+    def phase_counts(self) -> dict[str, int]:
+        """Return the number of connections by phase."""
+        with self._lock:
+            return Counter(connection.phase.name.lower() for connection in self._open.values())
+
     def start(self) -> None:
         """Start to accept connections."""
         self._poller.start()
@@ -141,17 +181,55 @@
         self.begin_shutdown()
 
     def stop(self, grace: float) -> None:
-        """Stop accepting, and wait up to `grace` seconds for active and closing connections to close."""
+        """Stop accepting, and wait up to `grace` seconds for the open connections to close."""
         self.stop_accepting()
         with self._lock:
             self._all_closed.wait_for(lambda: not self._open, grace)
         self._stopped.set()
 
-    def watch(self, connection: ClientConnection, on_disconnect: Callable[[], None]) -> None:
-        """Call `on_disconnect` once if the client disconnects while the connection is active."""
+    # ---- the thread that serves a connection
+
+    def watch(self, connection: ClientConnection, number: int, on_disconnect: Callable[[], None]) -> None:
+        """Call `on_disconnect` once if the client disconnects before the reply to its request `number`."""
         with self._lock:
-            connection.on_disconnect = on_disconnect
-            self._poller.arm(connection)
+            if connection.phase is Phase.ACTIVE and connection.request_number == number:
+                connection.on_disconnect = on_disconnect
+                self._poller.arm(connection)
+
+    def has_disconnected(self, connection: ClientConnection) -> bool:
+        """Whether the client of an active connection has disconnected, also behind bytes that were unread."""
+        with self._lock:
+            return self._read_ahead(connection) is Received.END or is_disconnected(connection.sock)
+
+    def resume(self, connection: ClientConnection, number: int, work: Work) -> bool:
+        """Serve a connection again with the reply to its request `number`; return False if that is over.
+
+        Any thread may call.
+        """
+        with self._lock:
+            if connection.phase is not Phase.ACTIVE or connection.request_number != number:
+                return False
+            connection.work = work
+            connection.on_disconnect = ignore_disconnect
+        if not self._workers.submit(connection):
+            with self._lock:  # the polling thread serves it
+                self._awaiting_thread[connection] = None
+        return True
+
+    def send(self, connection: ClientConnection, data: bytes, deadline: float, reply: ReplyEnd) -> NextStep:
+        """Send a reply without waiting; return the next step: `WRITING` if the client must take more of it first."""
+        unsent = UnsentReply(data, deadline, MemoryHolding(self._budget, MemoryOwner.REPLIES), reply.done)
+        sent = unsent.send(connection.sock)
+        if sent is Sent.PARTLY and unsent.reserve():
+            with self._lock:
+                connection.output = unsent
+                connection.phase = Phase.WRITING
+                connection.next_step = reply.next_step
+                self._writing[connection] = None
+                self._poller.arm(connection)
+            return NextStep.WRITING
+        unsent.release()
+        return reply.next_step if sent is Sent.ALL else NextStep.DISCONNECTED
 
     # ---- the polling thread
 
@@ -163,16 +241,21 @@
                         self._accept_pending(_ACCEPTS_PER_TURN)
                 else:
                     self._handle_event(descriptor)
+            self._read_further()
             self._handle_timeouts()
+        for connection in list(self._writing):
+            self._end_reply(connection, NextStep.DISCONNECTED)
         with self._lock:
-            for connection in [*self._awaiting_first_byte, *self._idle, *self._closing]:
+            for connection in [c for c in self._open.values() if c.phase is not Phase.ACTIVE]:
                 self._close(connection)
             if self._accepting:
                 self._accepting = False
                 self._listener.close()
 
     def _poll_timeout(self) -> float:
-        """Return the seconds until the next timeout is due."""
+        """Return the seconds until the next timeout is due, 0 if there is more to read."""
+        if self._further_reads:
+            return 0.0
         limits = self._limits
         with self._lock:
             due = [
@@ -180,9 +263,14 @@
                 for connection in oldest(self._awaiting_first_byte)
             ]
             due += [connection.idle_since + limits.idle_timeout for connection in oldest(self._idle)]
+            due += [connection.read_deadline for connection in oldest(self._reading_head)]
+            due += [connection.read_deadline for connection in oldest(self._reading_body)]
+            due += [connection.output.deadline for connection in oldest(self._writing) if connection.output]
             due += [connection.close_deadline for connection in oldest(self._closing)]
             due += [self._accept_paused_until] if self._accept_paused_until else []
-            due += [time.monotonic() + _RETRY_PAUSE] if self._poller.has_unarmed else []
+            due += (
+                [time.monotonic() + _RETRY_PAUSE] if self._poller.has_unarmed or self._awaiting_thread else []
+            )
         seconds = min(due, default=inf) - time.monotonic()
         return min(max(seconds, _MIN_POLL_TIMEOUT), _MAX_POLL_TIMEOUT)
 
@@ -192,27 +280,46 @@
         The descriptor may belong to a newer connection by now, so the state of the socket itself is checked.
         """
         on_disconnect = ignore_disconnect
-        requested = None
         with self._lock:
             connection = self._open.get(descriptor)
             if connection is None:
                 return
-            if connection.phase is Phase.IDLE:
-                requested = connection if self._begin_request(connection) else None
-            elif connection.phase is Phase.CLOSING:
+            phase = connection.phase
+            if phase is Phase.IDLE:
+                begins = self._begin_request(connection)
+            elif phase is Phase.CLOSING:
                 self._discard_input(connection)
-            elif not is_disconnected(connection.sock):
-                self._poller.arm(connection)
-            else:
-                on_disconnect = connection.on_disconnect
-                connection.on_disconnect = ignore_disconnect
+            elif phase is Phase.ACTIVE:
+                on_disconnect = self._check_active(connection)
+        if phase is Phase.IDLE and begins:
+            self._read(connection, _FIRST_READ_BYTES)
+        elif phase is Phase.READING:
+            self._further_reads.append(connection)
+        elif phase is Phase.WRITING:
+            self._continue_reply(connection)
         on_disconnect()
-        if requested and not self._workers.submit(requested):
-            with self._lock:
-                self._retry_or_reject(requested)
+
+    def _check_active(self, connection: ClientConnection) -> Callable[[], None]:
+        """Read ahead on an active connection; return what to call: nothing, unless its client has disconnected."""
+        if connection.on_disconnect is ignore_disconnect:
+            return ignore_disconnect
+        self._read_ahead(connection)
+        if not is_disconnected(connection.sock) and not connection.is_unsupervised:
+            self._poller.arm(connection)
+            return ignore_disconnect
+        on_disconnect = connection.on_disconnect
+        connection.on_disconnect = ignore_disconnect
+        return on_disconnect
+
+    def _read_further(self) -> None:
+        """Read some of the connections whose request has had a turn already."""
+        for _ in range(min(len(self._further_reads), _READS_PER_TURN)):
+            connection = self._further_reads.popleft()
+            if connection.phase is Phase.READING:
+                self._read(connection, _READ_BYTES)
 
     def _handle_timeouts(self) -> None:
-        """Close connections whose timeout has passed, and retry to request events where that had failed."""
+        """Close connections whose timeout has passed, and retry what had failed for lack of resources."""
         limits = self._limits
         now = time.monotonic()
         with self._lock:
@@ -222,11 +329,22 @@
                 self._close_unless_requested(connection, CloseReason.FIRST_BYTE_TIMEOUT)
             for connection in expired(self._idle, limits.idle_timeout, now):
                 self._close_unless_requested(connection, CloseReason.IDLE_TIMEOUT)
+            for part, group in (("head", self._reading_head), ("body", self._reading_body)):
+                for connection in past_read_deadline(group, now):
+                    error = HttpError(408, f"request {part}: not complete in time")
+                    self._refuse(connection, error, CloseReason.REQUEST_TIMEOUT)
+            unwritten = [c for c in oldest(self._writing) if c.output and c.output.deadline <= now]
             for connection in self._poller.take_unarmed():
                 if self._open.get(connection.descriptor) is connection:
                     self._poller.arm(connection)
             if self._accepting and self._accept_paused_until and self._accept_paused_until <= now:
                 self._arm_listener()
+            waiting = list(self._awaiting_thread)
+            self._awaiting_thread.clear()
+        for connection in unwritten:
+            self._end_reply(connection, NextStep.DISCONNECTED)
+        for connection in waiting:
+            self._submit(connection)
 
     # ---- accepting; under the lock
 
@@ -262,7 +380,8 @@
     def _add(self, sock: socket.socket) -> None:
         """Add an accepted connection, or reject it if there are too many."""
         now = time.monotonic()
-        connection = ClientConnection(sock, now, self._backlog.record_accept(now))
+        input_ = ConnectionInput(self._limits.message_limits, self._budget)
+        connection = ClientConnection(sock, now, self._backlog.record_accept(now), input_)
         sock.setblocking(False)
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -291,15 +410,21 @@
         return any(self._close_unless_requested(connection, CloseReason.EVICTED) for connection in silent)
 
     def _reject(self, connection: ClientConnection, reason: CloseReason) -> None:
-        """Reject a connection's request without reading it, and close the connection."""
+        """Reject a connection's request without serving it, and close the connection."""
         self.rejected += 1
-        connection.send_rejection(self._rejection, partial(self._poller.count_failure, "send"))
+        connection.send_rejection(self._hooks.rejection, partial(self._poller.count_failure, "send"))
         self._begin_close(connection, reason)
 
-    # ---- phases; under the lock
+    def _refuse(self, connection: ClientConnection, error: HttpError, reason: CloseReason) -> None:
+        """Answer a request that could not be read, and close its connection."""
+        reply = self._hooks.encode_error(error)
+        connection.send_rejection(reply, partial(self._poller.count_failure, "send"))
+        self._begin_close(connection, reason)
+
+    # ---- reading; by the polling thread, which takes the lock to change a phase
 
     def _begin_request(self, connection: ClientConnection) -> bool:
-        """Make an idle connection active if it has unread data; return whether it does."""
+        """Begin to read an idle connection if it has unread data; return whether it does. Under the lock."""
         has_data = has_unread_data(connection.sock)
         if has_data is None:
             self._poller.arm(connection)
@@ -309,12 +434,112 @@
             earliest = max(self._poller.events_since, connection.idle_since)
             if connection in self._awaiting_first_byte and self._poller.events_since <= connection.idle_since:
                 earliest = connection.connected_since  # its data may have waited in the backlog with it
-            self._awaiting_first_byte.pop(connection, None)
-            self._idle.pop(connection, None)
-            connection.phase = Phase.ACTIVE
-            connection.request_started = connection.waiting_for_thread_since or earliest
+            connection.is_pipelined = False
+            self._begin_reading(connection, earliest)
         return bool(has_data)
 
+    def _begin_reading(self, connection: ClientConnection, started: float) -> None:
+        """Change the phase. `started`: earliest time at which the first byte may have arrived. Under the lock."""
+        self._forget_groups(connection)
+        connection.phase = Phase.READING
+        connection.request_started = started
+        connection.read_deadline = started + self._limits.head_timeout
+        self._reading_head[connection] = None
+
+    def _read(self, connection: ClientConnection, most: int) -> None:
+        """Receive once up to `most` bytes on a connection that is being read, and parse what has arrived."""
+        received = Received.BYTES
+        if connection.has_unparsed:
+            connection.has_unparsed = False
+        else:
+            is_small = not connection.is_pipelined
+            received = connection.input.receive(connection.sock, self._scratch[:most], is_small)
+        if received is Received.BYTES:
+            self._parse(connection)
+        elif received is Received.NOTHING_YET:
+            with self._lock:
+                self._poller.arm(connection)
+        elif received is Received.NO_ROOM:
+            self._make_room(connection)
+        else:
+            with self._lock:
+                self._close_disconnected(connection)
+
+    def _parse(self, connection: ClientConnection) -> None:
+        """Parse what has arrived; submit the request if it is complete, otherwise wait for more."""
+        try:
+            request = connection.input.parse()
+        except HttpError as error:
+            reason = CloseReason.OUT_OF_MEMORY if error is NO_ROOM else CloseReason.INVALID_REQUEST
+            with self._lock:
+                self._refuse(connection, error, reason)
+            return
+        if request is None:
+            self._await_more(connection)
+            return
+        with self._lock:
+            self._forget_groups(connection)
+            connection.phase = Phase.ACTIVE
+            connection.request_number += 1
+            connection.work = request
+        self._submit(connection)
+
+    def _await_more(self, connection: ClientConnection) -> None:
+        """Wait for more bytes of an incomplete request."""
+        if connection.input.take_continue():
+            with contextlib.suppress(
+                OSError
+            ):  # if it fails, the client sends the body all the same, or leaves
+                connection.sock.send(_CONTINUE)
+        with self._lock:
+            if connection.input.has_head and connection in self._reading_head:
+                del self._reading_head[connection]
+                self._reading_body[connection] = None
+                connection.read_deadline = time.monotonic() + self._limits.body_timeout
+            if connection.input.is_large:
+                self._large[connection] = None
+            self._poller.arm(connection)
+
+    def _make_room(self, connection: ClientConnection) -> None:
+        """Refuse the incomplete request that was begun first, of the large ones if there are any."""
+        with self._lock:
+            victim = next(chain(self._large, self._reading_body, self._reading_head), connection)
+            self._refuse(victim, NO_ROOM, CloseReason.OUT_OF_MEMORY)
+        if victim is not connection:
+            self._further_reads.append(connection)
+
+    def _read_ahead(self, connection: ClientConnection) -> Received:
+        """Receive what has arrived on an active connection, as far as it may be kept. Under the lock.
+
+        Where it may not be kept, nobody can see any more whether the client has disconnected.
+        """
+        while not connection.is_unsupervised:
+            if connection.discards_input:
+                received = self._discard_once(connection)
+            elif connection.input.is_full:
+                received = Received.NO_ROOM
+            else:
+                is_small = not connection.is_pipelined
+                received = connection.input.receive(connection.sock, self._locked_scratch, is_small)
+            if received is Received.NO_ROOM:
+                connection.is_unsupervised = True
+            elif received is not Received.BYTES:
+                return received
+        return Received.NO_ROOM
+
+    def _discard_once(self, connection: ClientConnection) -> Received:
+        """Receive bytes that will not be read as a request, within the bound on those."""
+        try:
+            count = connection.sock.recv_into(self._locked_scratch)
+        except OSError as error:
+            return Received.NOTHING_YET if is_transient(error) else Received.END
+        connection.discarded_bytes += count
+        if connection.discarded_bytes > MAX_DISCARDED_BYTES:
+            return Received.NO_ROOM
+        return Received.BYTES if count else Received.END
+
+    # ---- closing; under the lock
+
     def _close_unless_requested(self, connection: ClientConnection, reason: CloseReason) -> bool:
         """Close an idle connection unless a request has arrived on it; return whether it is closed."""
         has_data = has_unread_data(connection.sock)
@@ -331,8 +556,8 @@
     def _begin_close(self, connection: ClientConnection, reason: CloseReason) -> None:
         """Shut down the sending side, and discard input until the client closes or `CLOSE_TIMEOUT` passes."""
         self.close_reasons[reason.value] += 1
-        self._awaiting_first_byte.pop(connection, None)
-        self._idle.pop(connection, None)
+        self._forget_groups(connection)
+        connection.input.close()
         connection.phase = Phase.CLOSING
         connection.close_deadline = time.monotonic() + CLOSE_TIMEOUT
         self._closing[connection] = None
@@ -369,38 +594,84 @@
 
     def _close(self, connection: ClientConnection) -> None:
         """Close the socket and remove the connection."""
-        for group in (self._awaiting_first_byte, self._idle, self._closing):
-            group.pop(connection, None)
+        self._forget_groups(connection)
         del self._open[connection.descriptor]
+        connection.input.close()
         if connection.phase is Phase.CLOSING:
             with contextlib.suppress(OSError):  # closing a socket with unread data would reset the connection
                 connection.sock.recv(_RECEIVE_BYTES)
+        connection.phase = Phase.CLOSED
         connection.sock.close()  # also removes it from the poller
         if not self._open:
             self._all_closed.notify_all()
 
+    def _forget_groups(self, connection: ClientConnection) -> None:
+        """Remove a connection from the groups of its phase."""
+        for group in (
+            self._awaiting_first_byte,
+            self._idle,
+            self._reading_head,
+            self._reading_body,
+            self._large,
+            self._awaiting_thread,
+            self._writing,
+            self._closing,
+        ):
+            group.pop(connection, None)
+
+    # ---- serving; on a worker thread, or on the polling thread
+
+    def _submit(self, connection: ClientConnection) -> None:
+        """Have a worker serve a connection; where no thread can be started, retry or reject it."""
+        if self._workers.submit(connection):
+            return
+        if not isinstance(connection.work, ReceivedRequest):  # a reply, which needs no thread of its own
+            self._serve(connection)
+            return
+        with self._lock:
+            self._retry_or_reject(connection)
+
     def _retry_or_reject(self, connection: ClientConnection) -> None:
         """Retry a request for which no thread could be started; reject it after `_THREAD_WAIT_TIMEOUT`."""
         self._poller.failures["thread"] += 1
-        connection.waiting_for_thread_since = (
-            connection.waiting_for_thread_since or connection.request_started
-        )
-        if time.monotonic() - connection.waiting_for_thread_since >= _THREAD_WAIT_TIMEOUT:
+        now = time.monotonic()
+        connection.waiting_for_thread_since = connection.waiting_for_thread_since or now
+        if now - connection.waiting_for_thread_since >= _THREAD_WAIT_TIMEOUT:
             self._reject(connection, CloseReason.NO_THREAD)
-            return
-        connection.phase = Phase.IDLE
-        self._idle[connection] = None
-        self._poller.arm_later(connection)
-
-    # ---- worker threads
+        else:
+            self._awaiting_thread[connection] = None
 
     def _serve(self, connection: ClientConnection) -> None:
-        """Serve the requests of an active connection, on a worker thread."""
+        """Serve the request or the reply of an active connection."""
         next_step = NextStep.DISCONNECTED
         try:
-            next_step = self._serve_requests(connection)
+            next_step = self._hooks.serve(connection)
         finally:
-            self._finish_request(connection, next_step)
+            if next_step not in (NextStep.REPLY_LATER, NextStep.WRITING):
+                self._finish_request(connection, next_step)
+
+    def _continue_reply(self, connection: ClientConnection) -> None:
+        """Send more of a reply. On the polling thread."""
+        output = connection.output
+        if output is None:
+            return
+        sent = output.send(connection.sock)
+        if sent is Sent.PARTLY:
+            output.reserve()
+            with self._lock:
+                self._poller.arm(connection)
+        else:
+            self._end_reply(connection, connection.next_step if sent is Sent.ALL else NextStep.DISCONNECTED)
+
+    def _end_reply(self, connection: ClientConnection, next_step: NextStep) -> None:
+        """End the writing of a reply. On the polling thread."""
+        with self._lock:
+            self._writing.pop(connection, None)
+            connection.phase = Phase.ACTIVE
+            output, connection.output = connection.output, None
+        if output:
+            output.release()
+        self._finish_request(connection, next_step)
 
     def _finish_request(self, connection: ClientConnection, next_step: NextStep) -> None:
         """End the active phase of a connection: keep it open or close it."""
@@ -408,6 +679,7 @@
             connection.on_disconnect = ignore_disconnect
             connection.waiting_for_thread_since = 0.0
             connection.idle_since = connection.last_reply = time.monotonic()
+            connection.input.release_request()
             if next_step is NextStep.DISCONNECTED:
                 self.close_reasons[CloseReason.FAILED_WHILE_ACTIVE.value] += 1
                 self._close(connection)
@@ -416,7 +688,14 @@
             elif self._shutting_down:  # also if shutdown began after the reply was written
                 self._begin_close(connection, CloseReason.SHUTDOWN)
             else:
-                connection.phase = Phase.IDLE
-                connection.sock.setblocking(False)
-                self._idle[connection] = None
-                self._poller.arm(connection)
+                self._await_next_request(connection)
+
+    def _await_next_request(self, connection: ClientConnection) -> None:
+        """Wait for the next request, of which bytes may be there already. Under the lock."""
+        if connection.input.has_buffered:
+            connection.is_pipelined = connection.has_unparsed = True
+            self._begin_reading(connection, connection.last_reply)
+        else:
+            connection.phase = Phase.IDLE
+            self._idle[connection] = None
+        self._poller.arm(connection)
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -1,8 +1,9 @@
 """An HTTP/1.1 server with bounded resources, on threads with small stacks.
 
-`connections.py` manages the phases of connections. While a connection is active, one thread reads its
-request, waits for the reply and writes it, so pipelined requests are answered in order. A client that shuts
-down its sending side counts as disconnected, as in Go's server.
+`connections.py` manages the phases of connections and reads their requests. A thread calls the handler with a
+complete request. The handler returns the reply, or `REPLY_LATER` if it calls `reply_later` once the reply can be
+made; then no thread waits for it. Requests of one connection are answered in order. A client that shuts down its
+sending side counts as disconnected, as in Go's server.
 """
 
 from __future__ import annotations
@@ -11,21 +12,25 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
-from typing import NamedTuple, Protocol
+from enum import Enum
+from typing import Any, NamedTuple, Protocol
 
 from gingervane.coordinator import process_pause
 from gingervane.coordinator.process_pause import ProcessPauseDetector
-from gingervane.fronts.client_connection import ClientConnection, ConnectionLimits, NextStep, is_disconnected
-from gingervane.fronts.connections import ConnectionManager
-from gingervane.fronts.timed_socket import TimedReceiver, send_all
+from gingervane.fronts.client_connection import ClientConnection, ConnectionLimits
+from gingervane.fronts.connection_output import NextStep, ReplyEnd
+from gingervane.fronts.connections import ConnectionManager, ServerHooks
+from gingervane.fronts.timed_socket import send_all
+from gingervane.limits.memory_budget import MemoryBudget
 from gingervane.wire import http1
-from gingervane.wire.http1 import ConnectionClosedError, HttpError, Limits, Request
+from gingervane.wire.http1 import HttpError, Limits, Request
+from gingervane.wire.http1_parser import ReceivedRequest
 from gingervane.wire.local_failures import retry_local_failures, start_thread
 from gingervane.wire.socket_recorder import SOCKET_RECORDER
 
 _BACKLOG = 512  # connections that the system queues until they are accepted
 _FIRST_ERROR_STATUS = 400
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_UNAVAILABLE = 503
 
 
 class ServerLimits(NamedTuple):
@@ -34,6 +39,8 @@
     `idle_timeout`: between requests; `head_timeout`, `body_timeout`: to read a request; `write_timeout`: to
     write a reply; `first_byte_timeout`: until a client's first byte (None: `idle_timeout` applies). When more
     than `eviction_threshold` connections are open, those that have been idle for `min_idle` may be closed.
+    `memory_bytes`: of requests and unwritten replies, where the server has no budget in common with others.
+    `max_threads`: that call the handler at once; None if it waits for its replies.
     """
 
     max_connections: int = 2000
@@ -46,6 +53,8 @@
     first_byte_timeout: float | None = None
     eviction_threshold: int = 1 << 30
     min_idle: float = 2.0
+    memory_bytes: int = 256 << 20
+    max_threads: int | None = None
 
     def for_connections(self) -> ConnectionLimits:
         """Return the limits that the connection manager enforces."""
@@ -56,6 +65,10 @@
             self.eviction_threshold,
             self.min_idle,
             _BACKLOG,
+            self.head_timeout,
+            self.body_timeout,
+            self.message_limits,
+            self.max_threads,
         )
 
 
@@ -78,6 +91,15 @@
     done: Callable[[], None] = _nothing_to_release  # called once the reply is written or has failed
 
 
+class ReplyLater(Enum):
+    """Returned by a handler that replies by `Exchange.reply_later`."""
+
+    REPLY_LATER = 0
+
+
+REPLY_LATER = ReplyLater.REPLY_LATER
+
+
 class Exchange(Protocol):
     """A handler's access to the client of its request."""
 
@@ -85,12 +107,22 @@
     def peer(self) -> int:
         """The client's port."""
 
+    @property
+    def is_pipelined(self) -> bool:
+        """Whether the request arrived before the reply to the one before it."""
+
     def watch(self, on_disconnect: Callable[[], None]) -> None:
         """Call `on_disconnect` once if the client disconnects before the reply."""
 
     def is_disconnected(self) -> bool:
         """Whether the client has disconnected."""
 
+    def is_unsupervised(self) -> bool:
+        """Whether so much input waits that the server cannot notice if the client disconnects."""
+
+    def reply_later(self, make_reply: Callable[[], Reply]) -> None:
+        """Send the reply that `make_reply` returns, which is called on another thread. Does not block."""
+
     def send_raw(self, data: bytes) -> None:
         """Write raw bytes instead of a reply; the handler's reply must then have an `until` in the past.
 
@@ -101,86 +133,67 @@
 class Handler(Protocol):
     """Answers one request, whose first byte arrived at `arrived`."""
 
-    def __call__(self, request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
-        """Return the reply. Called on the thread that serves the connection."""
+    def __call__(self, request: Request, body: bytes, arrived: float, client: Exchange) -> Reply | ReplyLater:
+        """Return the reply. Called on a thread that serves the connection."""
 
 
 class _ActiveConnection:
     """The `Exchange` of a request on an active connection."""
 
-    def __init__(self, connection: ClientConnection, connections: ConnectionManager) -> None:
+    def __init__(self, connection: ClientConnection, connections: ConnectionManager, timeout: float) -> None:
         self._connection = connection
         self._connections = connections
+        self._number = connection.request_number
+        self._timeout = timeout
 
     def watch(self, on_disconnect: Callable[[], None]) -> None:
-        self._connections.watch(self._connection, on_disconnect)
+        self._connections.watch(self._connection, self._number, on_disconnect)
 
     def is_disconnected(self) -> bool:
-        return is_disconnected(self._connection.sock)
+        return self._connections.has_disconnected(self._connection)
+
+    def is_unsupervised(self) -> bool:
+        return self._connection.is_unsupervised
+
+    def reply_later(self, make_reply: Callable[[], Reply]) -> None:
+        if not self._connections.resume(self._connection, self._number, make_reply):
+            make_reply().done()
 
     @property
     def peer(self) -> int:
         return _ports(self._connection.sock)[1]
 
-    def send_raw(self, data: bytes) -> None:
-        self._connection.sock.sendall(data)
-
-
-class _RequestReader:
-    """Reads the requests of one connection.
-
-    It must not refer back to the connection: such a reference cycle would keep the buffers of each closed
-    connection in memory until the garbage collector runs.
-    """
-
-    def __init__(self, sock: socket.socket, limits: ServerLimits) -> None:
-        self._sock = sock
-        self._limits = limits
-        self._receiver = TimedReceiver(sock)
-        self._reader = http1.Reader(self._receiver.receive, limits.message_limits)
-
     @property
-    def has_input(self) -> bool:
-        """Whether bytes of a further request are buffered."""
-        return bool(self._reader.has_buffered)
+    def is_pipelined(self) -> bool:
+        return self._connection.is_pipelined
 
-    def read(self, started: float) -> tuple[Request, bytes]:
-        """Read a request, whose first byte arrived at `started`, and its body.
-
-        Raises HttpError, ConnectionClosedError or OSError.
-        """
-        self._receiver.deadline = started + self._limits.head_timeout
-        try:
-            request = self._read_head()
-        except TimeoutError:
-            raise HttpError(408, "request head: not complete in time") from None
-        self._receiver.deadline = time.monotonic() + self._limits.body_timeout
-        try:
-            return request, self._reader.body(request.headers)
-        except TimeoutError:
-            raise HttpError(408, "request body: not complete in time") from None
-
-    def _read_head(self) -> Request:
-        request = self._reader.request()
-        if request.headers.get("expect"):
-            if request.headers.tokens("expect") != ["100-continue"]:
-                raise HttpError(417, "request headers: Expect is not 100-continue")
-            if not self._reader.has_buffered:
-                self._sock.sendall(_CONTINUE)
-        return request
+    def send_raw(self, data: bytes) -> None:
+        sock = self._connection.sock
+        send_all(sock, data, time.monotonic() + self._timeout)
+        sock.setblocking(False)
 
 
 class HttpServer:
     """Serves `handler` on a listening socket until `stop`."""
 
-    def __init__(self, host: str, port: int, handler: Handler, limits: ServerLimits) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        handler: Handler,
+        limits: ServerLimits,
+        budget: MemoryBudget | None = None,
+    ) -> None:
+        """`budget`: for requests and unwritten replies; None: one of its own, of `limits.memory_bytes`."""
         self._handler = handler
         self._limits = limits
+        self.budget = budget or MemoryBudget(limits.memory_bytes)
         listener = retry_local_failures(lambda: socket.create_server((host, port), backlog=_BACKLOG))
         self.address: tuple[str, int] = listener.getsockname()[:2]
         fields = [("Retry-After", "1"), ("Connection", "close"), ("Content-Type", "text/plain")]
         rejection = http1.encode_response(503, fields, b"too many connections\n")
-        self._connections = ConnectionManager(listener, limits.for_connections(), self._serve, rejection)
+        hooks = ServerHooks(self._serve, _encode_error, rejection)
+        self._connections = ConnectionManager(listener, limits.for_connections(), hooks, self.budget)
         self._stop = threading.Event()
         self._pauses = ProcessPauseDetector(time.monotonic())
         self.begin_shutdown = self._connections.begin_shutdown
@@ -232,68 +245,69 @@
         return self._connections.rejected
 
     def _serve(self, connection: ClientConnection) -> NextStep:
-        """Serve the request that has begun on a connection, and those pipelined after it."""
-        if not isinstance(connection.worker_state, _RequestReader):
-            connection.worker_state = _RequestReader(connection.sock, self._limits)
-        reader = connection.worker_state
-        started = connection.request_started
-        last_reply = connection.last_reply
-        try:
-            while True:
-                next_step = self._serve_request(connection, reader, started, last_reply)
-                if next_step is not NextStep.KEEP_ALIVE or not reader.has_input:
-                    return next_step
-                started = last_reply = time.monotonic()
-        except (OSError, ConnectionClosedError):
-            return NextStep.DISCONNECTED
-
-    def _serve_request(
-        self, connection: ClientConnection, reader: _RequestReader, started: float, last_reply: float
-    ) -> NextStep:
-        """Serve a request whose first byte arrived at `started`.
-
-        The previous request of the connection was finished at `last_reply`.
-        """
-        sock = connection.sock
-        arrived = self._pauses.arrival_time(started, last_reply)
-        try:
-            request, body = reader.read(started)
-        except HttpError as error:
-            self._write(sock, plain(error.status, error.detail, close=True))
-            return NextStep.CLOSE
+        """Serve the request of a connection, or send the reply that was awaited."""
+        work, connection.work = connection.work, None
+        assert work is not None, "a connection is served only with work"
+        if not isinstance(work, ReceivedRequest):
+            return self._reply(connection, self._call_handler(connection, work))
+        arrived = self._pauses.arrival_time(connection.request_started, connection.last_reply)
+        connection.keeps_alive = work.head.keep_alive
+        connection.discards_input = not work.head.keep_alive
         if SOCKET_RECORDER.enabled:
-            SOCKET_RECORDER.record("request", *_ports(sock))
+            SOCKET_RECORDER.record("request", *_ports(connection.sock))
+        client = _ActiveConnection(connection, self._connections, self._limits.write_timeout)
+        reply = self._call_handler(connection, lambda: self._handler(work.head, work.body, arrived, client))
+        return self._reply(connection, reply)
+
+    def _call_handler(self, connection: ClientConnection, work: Callable[[], Any]) -> Reply | ReplyLater:
+        """Return what a handler, or the maker of its reply, returns.
+
+        A request that has been read must be answered even if its handler has a bug or finds no memory.
+        """
         try:
-            reply = self._handler(request, body, arrived, _ActiveConnection(connection, self._connections))
-        # A request that has been read must be answered even if its handler has a bug.
+            reply: Reply | ReplyLater = work()
         except Exception as error:  # noqa: BLE001
             self.handler_failures += 1
             self.on_handler_failure(error)
-            self._write(sock, plain(500, "failed: internal error", close=True))
-            return NextStep.CLOSE
-        return self._reply(sock, reply, request.keep_alive)
+            connection.keeps_alive = False
+            return plain(500, "failed: internal error", close=True)
+        return reply
+
+    def _reply(self, connection: ClientConnection, reply: Reply | ReplyLater) -> NextStep:
+        """Send a reply, or a failure instead of a result if the client's deadline has passed."""
+        if isinstance(reply, ReplyLater):
+            return NextStep.REPLY_LATER
+        is_late = reply.until is not None and time.monotonic() >= reply.until
+        # Failures and rejections are sent unchanged. A result is too late to be of use, but a request
+        # that has been read must be answered: it gets a failure that does not promise that nothing was
+        # executed.
+        if is_late and reply.status < _FIRST_ERROR_STATUS:
+            reply = plain(504, "failed: its time is up", close=True)._replace(done=reply.done)
+        close = (
+            reply.close
+            or not connection.keeps_alive
+            or connection.is_unsupervised
+            or self._connections.shutting_down
+        )
+        return self._write(connection, reply._replace(close=close))
 
-    def _reply(self, sock: socket.socket, reply: Reply, keep_alive: bool) -> NextStep:
-        """Write a reply, or a failure instead of a result if the client's deadline has passed."""
-        try:
-            is_late = reply.until is not None and time.monotonic() >= reply.until
-            # Failures and rejections are sent unchanged. A result is too late to be of use, but a request
-            # that has been read must be answered: it gets a failure that does not promise that nothing was
-            # executed.
-            if is_late and reply.status < _FIRST_ERROR_STATUS:
-                reply = plain(504, "failed: its time is up", close=True)._replace(done=reply.done)
-            close = reply.close or not keep_alive or self._connections.shutting_down
-            self._write(sock, reply._replace(close=close))
-            return NextStep.CLOSE if close else NextStep.KEEP_ALIVE
-        finally:
-            reply.done()
-
-    def _write(self, sock: socket.socket, reply: Reply) -> None:
-        fields = [*reply.fields, ("Connection", "close")] if reply.close else reply.fields
-        data = http1.encode_response(reply.status, fields, reply.body)
+    def _write(self, connection: ClientConnection, reply: Reply) -> NextStep:
         if SOCKET_RECORDER.enabled:
-            SOCKET_RECORDER.record("reply", *_ports(sock), status=reply.status)
-        send_all(sock, data, time.monotonic() + self._limits.write_timeout)
+            SOCKET_RECORDER.record("reply", *_ports(connection.sock), status=reply.status)
+        end = ReplyEnd(NextStep.CLOSE if reply.close else NextStep.KEEP_ALIVE, reply.done)
+        deadline = time.monotonic() + self._limits.write_timeout
+        return self._connections.send(connection, _encode(reply), deadline, end)
+
+
+def _encode(reply: Reply) -> bytes:
+    fields = [*reply.fields, ("Connection", "close")] if reply.close else reply.fields
+    return http1.encode_response(reply.status, fields, reply.body)
+
+
+def _encode_error(error: HttpError) -> bytes:
+    """Return the reply to a request that could not be read."""
+    fields = (("Retry-After", "1"),) if error.status == _UNAVAILABLE else ()
+    return _encode(plain(error.status, error.detail, close=True, fields=fields))
 
 
 def _ports(sock: socket.socket) -> tuple[int, int]:
--- a/gingervane/node/client_front.py
+++ b/gingervane/node/client_front.py
@@ -20,7 +20,9 @@
 from gingervane.coordinator import types as t
 from gingervane.coordinator.admission import Rejected
 from gingervane.coordinator.core import QueryCoordinator
-from gingervane.fronts.http_server import Exchange, Reply, plain
+from gingervane.coordinator.pending_queries import CompletedQuery
+from gingervane.fronts.http_server import REPLY_LATER, Exchange, Reply, ReplyLater, plain
+from gingervane.limits.memory_budget import SMALL_REQUEST_BYTES, MemoryBudget, MemoryHolding, MemoryOwner
 from gingervane.node.replica_connection_types import FrameCodec, PartResult
 from gingervane.node.request_ids import IdState, RequestIds
 from gingervane.wire.frames import SubqueryRequest
@@ -36,6 +38,8 @@
     t.QueryStatus.FAILED: 500,
     t.QueryStatus.CLIENT_DISCONNECTED: 500,
 }
+_QUERY_BYTES = 4096  # of an open query in memory, in addition to its parts
+_PART_BYTES = 1792  # of a part of an open query, with its attempts and its result
 _JSON = ("Content-Type", "application/json")
 _HEALTH_PATHS = ("/ready", "/health")
 _ID_REFUSALS = {
@@ -50,8 +54,14 @@
 class ClientFront:
     """Handles `POST /CLASS` and `GET /ready`. A class may have any name, also that of a health path."""
 
-    def __init__(self, core: QueryCoordinator, class_names: tuple[str, ...], shards: int) -> None:
+    def __init__(
+        self, core: QueryCoordinator, class_names: tuple[str, ...], shards: int, budget: MemoryBudget
+    ) -> None:
+        """`budget`: to which open queries are charged."""
         self._core = core
+        self._budget = budget
+        settings = core.settings
+        self._max_retry_after = settings.max_retry_after if settings.retry_after_allowed else 0.0
         self._shards = shards
         self._classes = {name: class_index for class_index, name in enumerate(class_names)}
         self._codec = FrameCodec()
@@ -59,8 +69,8 @@
         self.refusals = Counter[str]()  # requests that were refused before admission, by reason
         self.ready = False
 
-    def handle(self, request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
-        """Answer a request; a query in it is completed before this returns."""
+    def handle(self, request: Request, body: bytes, arrived: float, client: Exchange) -> Reply | ReplyLater:
+        """Answer a request; the reply to a query in it comes later."""
         path = request.target.partition("?")[0]
         class_name = path[1:].partition("/")[0]
         if class_name not in self._classes:  # the name may be percent-encoded or not
@@ -74,11 +84,14 @@
         if client.is_disconnected():  # a client may disconnect before its request is read
             self.refusals["client left"] += 1
             return plain(500, "its client has left", close=True)
+        if client.is_unsupervised():
+            self.refusals["too much behind it"] += 1
+            return _rejection("too much was sent behind this request", self._max_retry_after)
         state = self._ids.begin(query_id, self._is_repeatable(plan), time.monotonic())
         if state is not IdState.NEW:
             self.refusals[state.value] += 1
             return self._id_refusal(state)
-        return self._run_query(query_id, plan, client)
+        return self._run_query(query_id, plan, len(body), client)
 
     def _is_repeatable(self, plan: t.QueryPlan) -> bool:
         query_class = self._core.settings.query_classes[plan.query_class]
@@ -86,7 +99,7 @@
 
     def _id_refusal(self, state: IdState) -> Reply:
         if state is IdState.NO_ROOM:
-            return _rejection(_ID_REFUSALS[state], self._core.settings.max_retry_after)
+            return _rejection(_ID_REFUSALS[state], self._max_retry_after)
         return plain(409, f"X-Request-ID: {_ID_REFUSALS[state]}")
 
     def _health(self, request: Request) -> Reply:
@@ -94,24 +107,33 @@
             return plain(405, "only GET here", fields=(("Allow", "GET"),))
         return plain(200, "ready") if self.ready else plain(503, "not ready")
 
-    def _run_query(self, query_id: str, plan: t.QueryPlan, client: Exchange) -> Reply:
-        """Submit a query and wait for its result."""
+    def _run_query(
+        self, query_id: str, plan: t.QueryPlan, body_bytes: int, client: Exchange
+    ) -> Reply | ReplyLater:
+        """Submit a query; its result makes the reply."""
+        query = _OpenQuery(self, query_id, plan, client, MemoryHolding(self._budget, MemoryOwner.QUERIES))
+        if not query.reserve_memory(body_bytes <= SMALL_REQUEST_BYTES and not client.is_pipelined):
+            query.release(may_have_run=False)
+            self.refusals["no memory"] += 1
+            return _rejection("no memory for this query", self._max_retry_after)
         try:
-            pending = self._core.submit(plan)
+            pending = self._core.submit(plan, query)
         except Rejected as error:
-            self._ids.end(query_id, may_have_run=False, runs_until=0.0)
+            query.release(may_have_run=False)
             return _rejection(str(error), error.retry_after)
+        except BaseException:
+            query.release(may_have_run=False)
+            raise
         client.watch(pending.abandon)
-        result = pending.wait()
+        return REPLY_LATER
 
-        def release() -> None:
-            # An attempt is told at most the time up to the query's deadline, so that it runs no longer.
-            self._ids.end(query_id, result.may_have_run, plan.deadline)
-            pending.release()
-
-        return self._reply(result)._replace(done=release)
+    def end(self, query_id: str, plan: t.QueryPlan, may_have_run: bool) -> None:
+        """Close the id of a query that has ended."""
+        # An attempt is told at most the time up to the query's deadline, so that it runs no longer.
+        self._ids.end(query_id, may_have_run, plan.deadline)
 
-    def _reply(self, result: t.QueryResult) -> Reply:
+    def reply(self, result: t.QueryResult) -> Reply:
+        """Return the reply to a query with this result."""
         if result.status in (t.QueryStatus.COMPLETE, t.QueryStatus.PARTIAL):
             parts: list[PartResult] = list(result.results.values())
             full = result.status is t.QueryStatus.COMPLETE or result.marked_complete
@@ -194,6 +216,43 @@
         return shard, weight, guess
 
 
+class _OpenQuery:
+    """A query from its admission to the end of its reply. Receives its result, and has the reply sent."""
+
+    def __init__(
+        self, front: ClientFront, query_id: str, plan: t.QueryPlan, client: Exchange, holding: MemoryHolding
+    ) -> None:
+        self._front = front
+        self._id = query_id
+        self._plan = plan
+        self._client = client
+        self._holding = holding
+
+    def reserve_memory(self, is_small: bool) -> bool:
+        """Charge the query to the memory budget; return whether it has room. `is_small`: see `MemoryHolding`."""
+        parts = self._plan.parts
+        statement = len(parts[0].content.text)  # held once for all parts
+        return self._holding.resize(_QUERY_BYTES + len(parts) * _PART_BYTES + statement, is_small)
+
+    def put(self, item: CompletedQuery) -> None:
+        """Take the result. Called on the decision thread."""
+        self._client.reply_later(lambda: self._make_reply(item))
+
+    def release(self, may_have_run: bool) -> None:
+        """Release what the query holds."""
+        self._front.end(self._id, self._plan, may_have_run)
+        self._holding.release()
+
+    def _make_reply(self, completed: CompletedQuery) -> Reply:
+        query, result = completed
+
+        def release() -> None:
+            self.release(result.may_have_run)
+            query.release()
+
+        return self._front.reply(result)._replace(done=release)
+
+
 def _read_body(body: bytes) -> tuple[list[Any], bytes]:
     """Return the tablets of a query's body and the text of its statement. Raises HttpError."""
     try:
--- a/gingervane/node/config.py
+++ b/gingervane/node/config.py
@@ -17,6 +17,7 @@
 Address = tuple[str, int]
 _ADDRESS = re.compile(r"([0-9.]{7,15}):([0-9]{1,5})\Z")
 _DEFAULT_SOCKETS = 1024  # descriptors, if the configuration sets no limit
+_DEFAULT_MEMORY_MB = 192  # if the configuration sets no limit; the most of the platform's scored days
 _PORTS = 65536  # number of ports of an address
 
 
@@ -28,7 +29,8 @@
     """The configuration. Times are in seconds.
 
     `cached_endpoints`: the endpoint list to start with, in discovery's format; `peer_broadcast`: one address that
-    reaches all peers; `ordinal`: this co-ordinator's index among the peers; `idle_timeout`: for replica connections.
+    reaches all peers; `memory_bytes`: the limit of the process's memory; `ordinal`: this co-ordinator's index among
+    the peers; `idle_timeout`: for replica connections.
     """
 
     name: str
@@ -48,6 +50,7 @@
     streams_per_connection: int
     idle_timeout: float
     connect_timeout: float
+    memory_bytes: int
 
 
 def read_config(path: Path) -> NodeConfig:
@@ -92,6 +95,9 @@
         ),
         idle_timeout=_seconds(pairs, "Limits.ConnIdleS"),
         connect_timeout=_seconds(pairs, "Limits.ConnectTimeoutS"),
+        memory_bytes=_megabytes(
+            data.get("limits", {}).get("memory_mb", _DEFAULT_MEMORY_MB), "limits.memory_mb"
+        ),
     )
 
 
@@ -133,6 +139,13 @@
         raise ConfigError(f"{key}: {text!r} is not a number") from None
 
 
+def _megabytes(value: object, key: str) -> int:
+    """Return a number of MB of 2**20 bytes, which may be a fraction, in bytes. Raises ConfigError."""
+    if isinstance(value, int | float) and not isinstance(value, bool) and 0 < value < inf:
+        return int(value * (1 << 20))
+    raise ConfigError(f"{key}: {value!r} is not a number of megabytes above 0")
+
+
 def _seconds(pairs: dict[str, str], key: str) -> float:
     text = _require(pairs, key)
     try:
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -21,12 +21,14 @@
 from gingervane.decisions.engine import DecisionEngine
 from gingervane.decisions.membership_watch import WatchOptions
 from gingervane.fronts.http_server import HttpServer, ServerLimits
+from gingervane.limits.memory_budget import MemoryBudget
 from gingervane.node import config as configuration
 from gingervane.node.client_front import ClientFront
 from gingervane.node.config import ConfigError, NodeConfig
 from gingervane.node.descriptor_budget import DescriptorBudget, divide_descriptors
 from gingervane.node.discovery import DiscoveryWatch
 from gingervane.node.endpoint_list import EndpointListError, EndpointListReader
+from gingervane.node.memory_limits import divide_memory, process_status
 from gingervane.node.peer_socket import PeerSocket
 from gingervane.node.query_log import QueryLog
 from gingervane.node.replica_connection_types import ReplicaConnectionClosed, ReplicaConnectionLimits
@@ -59,6 +61,7 @@
 _BODY_TIMEOUT = 1.0  # seconds to read the body of a request
 _WRITE_TIMEOUT = 5.0  # seconds to write a reply
 _FIRST_BYTE_TIMEOUT = 2.0  # seconds until the first byte on a new connection
+_CLIENT_THREADS = 4  # that parse queries and write replies; none of them waits
 _IDLE_SHARE = 0.8  # share of the replicas' idle timeout after which a connection is no longer written to
 
 _EXIT_INVALID_CONFIGURATION = 2
@@ -74,25 +77,27 @@
         self._config = config
         self._is_stopping = False  # a co-ordinator that becomes ready meanwhile is not reported as such
         self.telemetry = telemetry or _started_telemetry(config)
-        budget = divide_descriptors(config.max_sockets)
+        descriptors = divide_descriptors(config.max_sockets)
         reader = EndpointListReader(config.zones, ReplicaStartTimes(), self.telemetry.info)
-        self.core = self._make_core(reader, budget)
-        self.front = ClientFront(self.core, config.class_names, config.shards)
+        self.core = self._make_core(reader, descriptors)
         self.watch = self._make_watch(reader)
         self._peers = self._make_peer_socket()
         cached = self._read_cached_endpoints(reader)
         if cached:
             self.core.endpoints_updated(cached)
-        self.server = self._make_server(budget)
+        self.memory = divide_memory(config.memory_bytes, process_status().resident * 1024)
+        self.budget = MemoryBudget(self.memory.budget)
+        self.front = ClientFront(self.core, config.class_names, config.shards, self.budget)
+        self.server = self._make_server(descriptors)
         self.server.on_handler_failure = self._request_handler_failed
         self._add_counters()
 
-    def _make_core(self, reader: EndpointListReader, budget: DescriptorBudget) -> QueryCoordinator:
+    def _make_core(self, reader: EndpointListReader, descriptors: DescriptorBudget) -> QueryCoordinator:
         config = self._config
         settings = config.settings
         limits = ReplicaConnectionLimits(
             config.streams_per_connection,
-            budget.replica_connections,
+            descriptors.replica_connections,
             _IDLE_SHARE * config.idle_timeout,
             config.connect_timeout,
         )
@@ -135,17 +140,18 @@
             self.telemetry.warning(LogEvent.CACHED_ENDPOINTS_INVALID, error=str(error))
             return None
 
-    def _make_server(self, budget: DescriptorBudget) -> HttpServer:
+    def _make_server(self, descriptors: DescriptorBudget) -> HttpServer:
         limits = ServerLimits(
-            max_connections=budget.client_connections,
+            max_connections=descriptors.client_connections,
             head_timeout=_HEAD_TIMEOUT,
             body_timeout=_BODY_TIMEOUT,
             write_timeout=_WRITE_TIMEOUT,
             message_limits=Limits(_MAX_HEAD_BYTES, _MAX_BODY_BYTES),
             first_byte_timeout=_FIRST_BYTE_TIMEOUT,
-            eviction_threshold=budget.client_soft_limit,
+            eviction_threshold=descriptors.client_soft_limit,
+            max_threads=_CLIENT_THREADS,
         )
-        return HttpServer(*self._config.listen, self.front.handle, limits)
+        return HttpServer(*self._config.listen, self.front.handle, limits, self.budget)
 
     def _add_counters(self) -> None:
         """Add the counters of the core, the watch and the server to the telemetry's dump."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -31,7 +31,8 @@
 
 from gingervane.coordinator.admission import Admission
 from gingervane.coordinator.core import QueryCoordinator
-from gingervane.fronts.client_connection import ClientConnection, NextStep
+from gingervane.fronts.client_connection import ClientConnection
+from gingervane.fronts.connection_output import NextStep
 from gingervane.fronts.connections import MAX_CLOSING, MAX_DISCARDED_BYTES, ConnectionManager
 from gingervane.fronts.http_server import HttpServer
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -49,8 +49,11 @@
         "coordinator",
         "wire",
         "fronts",
+        "limits",
         "telemetry",
     }
+    limits = {name for name in loaded if name.startswith("gingervane.limits.")}
+    assert limits == {"gingervane.limits.memory_budget"}
     assert not {"duckdb", "numpy", "pydantic", "structlog", "click", "asyncio"} & set(loaded)
 
 
