Small and new requests are served before large and pipelined ones; the node's clients need no thread

Cause: a thread for each connection parsed as fast as it could, all of them in the interpreter's way of the decision thread, and a pipelined connection was served to its end by one thread. Class: work done for a client in one turn has no bound. Change: the polling thread serves the node's requests itself, as nothing in it waits: small new ones at once, two large and two pipelined ones a turn, 32 pipelined ones open at a time; what waited longer than 0.1 s for that is refused with 503, before anything is sent, on its open connection. A request takes 2 KB in its first turn and 16 KB in each further one. An exception in the polling thread (also MemoryError) closes the connection that it concerns, with 500 where a reply is owed; it ended the thread, and with it the service, before.

--- a/gingervane/fronts/client_connection.py
+++ b/gingervane/fronts/client_connection.py
@@ -33,7 +33,7 @@
     When more than `eviction_threshold` connections are open, those that have been idle for `min_idle` may be
     closed. The system queues up to `backlog` connections until they are accepted. The head of a request may take
     `head_timeout` from its first byte on, its body `body_timeout` from then on, both within `message_limits`.
-    `max_threads`: that serve connections at once; None: one for each, as they may wait.
+    `serving_waits`: each request is served on a thread of its own, as that may wait.
     """
 
     max_connections: int
@@ -45,7 +45,7 @@
     head_timeout: float
     body_timeout: float
     message_limits: Limits
-    max_threads: int | None
+    serving_waits: bool
 
     @property
     def effective_first_byte_timeout(self) -> float:
@@ -66,6 +66,7 @@
     REQUEST_TIMEOUT = "request not complete in time"
     OUT_OF_MEMORY = "no memory for its request"
     REPLY_UNREAD = "reply not read"
+    INTERNAL_ERROR = "internal error"
     AFTER_REPLY = "after its reply"
     SHUTDOWN = "shutdown"
     CLIENT_DISCONNECTED = "client left"
@@ -98,6 +99,7 @@
     __slots__ = (
         "close_deadline",
         "connected_since",
+        "counts_as_pipelined",
         "descriptor",
         "discarded_bytes",
         "discards_input",
@@ -117,7 +119,9 @@
         "request_number",
         "request_started",
         "sock",
+        "waited_too_long",
         "waiting_for_thread_since",
+        "waiting_since",
         "work",
     )
 
@@ -143,6 +147,11 @@
         self.is_unsupervised = False  # too much input waits to see whether the client has disconnected
         self.registered = False  # with the poller
         self.waiting_for_thread_since = 0.0  # start of a request for which no thread was available; 0: none
+        self.waiting_since = (
+            0.0  # when a complete request that is large or pipelined began to wait; 0: it does not
+        )
+        self.waited_too_long = False  # so that the request is refused
+        self.counts_as_pipelined = False  # among the pipelined requests that are being served
         self.phase = Phase.IDLE
         self.on_disconnect: Callable[[], None] = ignore_disconnect
         self.close_deadline = inf
@@ -195,7 +204,7 @@
 
 def expired(group: dict[ClientConnection, None], timeout: float, now: float) -> list[ClientConnection]:
     """Return the connections of a group that have been idle for `timeout` seconds."""
-    return [connection for connection in group if connection.idle_since + timeout <= now]
+    return list(takewhile(lambda connection: connection.idle_since + timeout <= now, group))
 
 
 def past_read_deadline(group: dict[ClientConnection, None], now: float) -> list[ClientConnection]:
--- a/gingervane/fronts/connection_input.py
+++ b/gingervane/fronts/connection_input.py
@@ -74,7 +74,10 @@
         return True
 
     def receive(self, sock: socket.socket, scratch: memoryview, is_small: bool) -> Received:
-        """Receive once, at most the size of `scratch`. `is_small`: see `MemoryHolding.resize`."""
+        """Receive once, at most the size of `scratch`; `parse` charges what has arrived.
+
+        `is_small`: see `MemoryHolding.resize`.
+        """
         if self._parser is None:
             self._parser = RequestParser(self._limits)
         most = self._reserve(len(scratch), is_small)
@@ -89,7 +92,6 @@
         if count and not most:
             return Received.NO_ROOM
         self._parser.buffer += scratch[:count]
-        self._fit()
         return Received.BYTES if count else Received.END
 
     def _reserve(self, most: int, is_small: bool) -> int:
--- a/gingervane/fronts/connection_poller.py
+++ b/gingervane/fronts/connection_poller.py
@@ -105,6 +105,6 @@
         return select.EPOLLOUT
     if connection.phase is Phase.ACTIVE and connection.is_unsupervised:
         return select.EPOLLRDHUP
-    if connection.has_unparsed:  # the event comes at once
+    if connection.has_unparsed or connection.work is not None:  # the event comes at once
         return select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLOUT
     return select.EPOLLIN | select.EPOLLRDHUP
--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -9,15 +9,16 @@
   or because capacity is short, and only while it has no unread data.
 - *Reading*: a request has begun and is not complete. It costs its bytes and no thread. If memory is short, the
   request that is large and has been incomplete for the longest time is refused.
-- *Active*: a request is complete; a worker thread serves it, or its reply is awaited. What arrives meanwhile is
-  kept for the next request, up to the size of one, so that a disconnect behind it is noticed.
+- *Active*: a request is complete; it is being served, or its reply is awaited. What arrives meanwhile is kept for
+  the next request, up to the size of one, so that a disconnect behind it is noticed.
 - *Writing*: the client has not taken all of a reply. Nothing is read meanwhile.
 - *Closing*: the server's sending side is shut down. Input is discarded, never read as a request, within
   bounds on time, bytes and number of such connections. This keeps a reset from destroying the last reply, as
   happens when a socket is closed with unread data.
 
-One thread (`_run`) polls all connections and reads them, a bounded number of bytes of each in turn; connections whose
-request needs more than one turn wait behind those with a new one. Worker threads are started on demand.
+One thread (`_run`) polls all connections and does a bounded amount of work for each in turn. Requests that are large,
+or that were pipelined behind another, wait behind those that are small and new. Where serving a request may wait, a
+worker thread does it; otherwise the polling thread.
 """
 
 from __future__ import annotations
@@ -53,7 +54,6 @@
 from gingervane.fronts.connection_workers import ConnectionWorkers
 from gingervane.limits.memory_budget import MemoryBudget, MemoryHolding, MemoryOwner
 from gingervane.wire.http1_messages import HttpError
-from gingervane.wire.http1_parser import ReceivedRequest
 from gingervane.wire.local_failures import is_transient, start_thread
 
 CLOSE_TIMEOUT = 0.5  # seconds that a connection may be closing
@@ -67,6 +67,9 @@
 _FIRST_READ_BYTES = 2048  # of a new request in its turn; most requests are smaller
 _READ_BYTES = 16384  # of a request in each further turn
 _READS_PER_TURN = 4  # of connections whose request has taken a turn already
+_REQUESTS_PER_TURN = 2  # of the large ones, and of the pipelined ones
+_MAX_PIPELINED_ACTIVE = 32  # pipelined requests that are served at once
+_PIPELINED_WAIT_TIMEOUT = 0.1  # seconds that a pipelined request waits for its turn before it is refused
 _EVICTIONS_PER_ACCEPT = 2  # more than one, so that the number of connections shrinks
 _ACCEPTS_PER_TURN = 16  # of the polling thread, before it looks at the open connections again
 _EVICTION_CANDIDATES = 16  # silent connections that are examined to make room for a new one
@@ -78,12 +81,14 @@
 
     `serve` is called on a worker thread with a connection that has `work`, and returns what the manager does with the
     connection next. `encode_error` returns the reply to a request that could not be read, after which its connection
-    is closed. `rejection` is the encoded reply to a connection that is over a limit.
+    is closed. `rejection` is the encoded reply to a connection that is over a limit. `on_failure` is called with an
+    unexpected exception, after which the connection that it concerns is closed.
     """
 
     serve: Callable[[ClientConnection], NextStep]
     encode_error: Callable[[HttpError], bytes]
     rejection: bytes
+    on_failure: Callable[[BaseException], None]
 
 
 class ConnectionManager:
@@ -105,7 +110,7 @@
         self._all_closed = threading.Condition(self._lock)
         self._listener_descriptor = listener.fileno()
         self._poller = ConnectionPoller(self._listener_descriptor)
-        self._workers = ConnectionWorkers(self._serve, self._lock, limits.max_threads)
+        self._workers = ConnectionWorkers(self._serve, self._lock) if limits.serving_waits else None
         self._scratch = memoryview(bytearray(_READ_BYTES))  # of the polling thread
         self._locked_scratch = memoryview(
             bytearray(_FIRST_READ_BYTES)
@@ -121,6 +126,10 @@
         self._writing = dict[ClientConnection, None]()
         self._closing = dict[ClientConnection, None]()
         self._further_reads = deque[ClientConnection]()  # readable, but their request has had a turn already
+        self._large_requests = deque[ClientConnection]()  # that are complete and wait for their turn
+        self._pipelined_requests = deque[ClientConnection]()  # the same
+        self._pipelined_active = 0  # pipelined requests that are being served
+        self._handled: ClientConnection | None = None  # the connection that the polling thread handles
         self._accept_paused_until = 0.0
         self._backlog = BacklogAge(limits.backlog)
         self._accepting = True
@@ -198,11 +207,15 @@
 
     def has_disconnected(self, connection: ClientConnection) -> bool:
         """Whether the client of an active connection has disconnected, also behind bytes that were unread."""
-        with self._lock:
-            return self._read_ahead(connection) is Received.END or is_disconnected(connection.sock)
+        is_watched = connection.on_disconnect is not ignore_disconnect  # by the polling thread too
+        with self._lock if is_watched else contextlib.nullcontext():
+            received = self._read_ahead(connection)
+        if received is Received.NO_ROOM:
+            return is_disconnected(connection.sock)
+        return received is Received.END
 
     def resume(self, connection: ClientConnection, number: int, work: Work) -> bool:
-        """Serve a connection again with the reply to its request `number`; return False if that is over.
+        """Have the polling thread send the reply to a connection's request `number`; return False if that is over.
 
         Any thread may call.
         """
@@ -211,9 +224,7 @@
                 return False
             connection.work = work
             connection.on_disconnect = ignore_disconnect
-        if not self._workers.submit(connection):
-            with self._lock:  # the polling thread serves it
-                self._awaiting_thread[connection] = None
+            self._poller.arm(connection)  # the event comes at once
         return True
 
     def send(self, connection: ClientConnection, data: bytes, deadline: float, reply: ReplyEnd) -> NextStep:
@@ -237,14 +248,32 @@
         while not self._stopped.is_set():
             for descriptor, _ in self._poller.wait(self._poll_timeout):
                 if descriptor == self._listener_descriptor and descriptor not in self._open:
-                    with self._lock:
-                        self._accept_pending(_ACCEPTS_PER_TURN)
+                    self._attempt(self._accept_turn)
                 else:
-                    self._handle_event(descriptor)
-            self._read_further()
-            self._handle_timeouts()
-        for connection in list(self._writing):
-            self._end_reply(connection, NextStep.DISCONNECTED)
+                    self._attempt(self._handle_event, descriptor)
+            self._attempt(self._serve_further)
+            self._attempt(self._handle_timeouts)
+        self._close_all()
+
+    def _attempt(self, action: Callable[..., None], *arguments: int) -> None:
+        """Call an action of the polling thread, which must go on whatever fails, as nothing else accepts or reads."""
+        self._handled = None
+        try:
+            action(*arguments)
+        except Exception as error:  # noqa: BLE001 - also if there is no memory for what it does
+            self._hooks.on_failure(error)
+            with self._lock:
+                if self._handled is not None and self._handled.phase is not Phase.CLOSED:
+                    self._close_failed(self._handled)
+                self._accept_paused_until = self._accept_paused_until or time.monotonic() + _RETRY_PAUSE
+
+    def _close_all(self) -> None:
+        """Close all connections, at the end of the polling thread, but those whose reply a worker makes."""
+        for connection in list(self._open.values()):
+            if connection.phase is Phase.WRITING:
+                self._end_reply(connection, NextStep.DISCONNECTED)
+            elif connection.phase is Phase.ACTIVE and callable(connection.work):
+                self._serve(connection)
         with self._lock:
             for connection in [c for c in self._open.values() if c.phase is not Phase.ACTIVE]:
                 self._close(connection)
@@ -254,8 +283,10 @@
 
     def _poll_timeout(self) -> float:
         """Return the seconds until the next timeout is due, 0 if there is more to read."""
-        if self._further_reads:
+        if self._further_reads or self._large_requests:
             return 0.0
+        if self._pipelined_requests:
+            return 0.0 if self._pipelined_active < _MAX_PIPELINED_ACTIVE else _MIN_POLL_TIMEOUT
         limits = self._limits
         with self._lock:
             due = [
@@ -281,7 +312,7 @@
         """
         on_disconnect = ignore_disconnect
         with self._lock:
-            connection = self._open.get(descriptor)
+            connection = self._handled = self._open.get(descriptor)
             if connection is None:
                 return
             phase = connection.phase
@@ -289,7 +320,7 @@
                 begins = self._begin_request(connection)
             elif phase is Phase.CLOSING:
                 self._discard_input(connection)
-            elif phase is Phase.ACTIVE:
+            elif phase is Phase.ACTIVE and connection.work is None:
                 on_disconnect = self._check_active(connection)
         if phase is Phase.IDLE and begins:
             self._read(connection, _FIRST_READ_BYTES)
@@ -297,6 +328,8 @@
             self._further_reads.append(connection)
         elif phase is Phase.WRITING:
             self._continue_reply(connection)
+        elif phase is Phase.ACTIVE and callable(connection.work):
+            self._serve(connection)
         on_disconnect()
 
     def _check_active(self, connection: ClientConnection) -> Callable[[], None]:
@@ -311,12 +344,36 @@
         connection.on_disconnect = ignore_disconnect
         return on_disconnect
 
-    def _read_further(self) -> None:
-        """Read some of the connections whose request has had a turn already."""
+    def _serve_further(self) -> None:
+        """Read and serve some of the connections whose request is large or was pipelined."""
         for _ in range(min(len(self._further_reads), _READS_PER_TURN)):
-            connection = self._further_reads.popleft()
+            connection = self._handled = self._further_reads.popleft()
             if connection.phase is Phase.READING:
                 self._read(connection, _READ_BYTES)
+        self._serve_large()
+        self._serve_pipelined()
+
+    def _serve_large(self) -> None:
+        """Serve some of the large requests."""
+        for _ in range(min(len(self._large_requests), _REQUESTS_PER_TURN)):
+            self._handled = self._large_requests.popleft()
+            self._serve(self._handled)
+
+    def _serve_pipelined(self) -> None:
+        """Serve some of the pipelined requests, as long as not too many are; have those refused that waited too long.
+
+        A client that does not wait for its replies could otherwise delay all others by what it has sent.
+        """
+        refuse_before = time.monotonic() - _PIPELINED_WAIT_TIMEOUT
+        for _ in range(min(len(self._pipelined_requests), _REQUESTS_PER_TURN)):
+            connection = self._pipelined_requests[0]
+            connection.waited_too_long = connection.waiting_since <= refuse_before
+            if self._pipelined_active >= _MAX_PIPELINED_ACTIVE and not connection.waited_too_long:
+                return
+            self._handled = self._pipelined_requests.popleft()
+            connection.counts_as_pipelined = True
+            self._pipelined_active += 1
+            self._serve(connection)
 
     def _handle_timeouts(self) -> None:
         """Close connections whose timeout has passed, and retry what had failed for lack of resources."""
@@ -348,6 +405,11 @@
 
     # ---- accepting; under the lock
 
+    def _accept_turn(self) -> None:
+        """Accept the connections of one turn. On the polling thread, without the lock."""
+        with self._lock:
+            self._accept_pending(_ACCEPTS_PER_TURN)
+
     def _accept_pending(self, most: int) -> None:
         """Accept up to `most` connections in the backlog, and request an event for the next one."""
         self._backlog.begin_turn(self._poller.events_since)
@@ -592,6 +654,13 @@
         else:
             self._close(connection)
 
+    def _close_failed(self, connection: ClientConnection) -> None:
+        """Close a connection after an unexpected exception; a client that waits for a reply gets an error."""
+        if connection.phase is Phase.CLOSING:
+            self._close(connection)
+        else:
+            self._refuse(connection, HttpError(500, "failed: internal error"), CloseReason.INTERNAL_ERROR)
+
     def _close(self, connection: ClientConnection) -> None:
         """Close the socket and remove the connection."""
         self._forget_groups(connection)
@@ -622,14 +691,19 @@
     # ---- serving; on a worker thread, or on the polling thread
 
     def _submit(self, connection: ClientConnection) -> None:
-        """Have a worker serve a connection; where no thread can be started, retry or reject it."""
-        if self._workers.submit(connection):
-            return
-        if not isinstance(connection.work, ReceivedRequest):  # a reply, which needs no thread of its own
-            self._serve(connection)
-            return
-        with self._lock:
-            self._retry_or_reject(connection)
+        """Serve the request of a connection, or have a worker serve it. On the polling thread."""
+        if self._workers is None:
+            connection.waited_too_long = False
+            if connection.is_pipelined:
+                connection.waiting_since = time.monotonic()
+                self._pipelined_requests.append(connection)
+            elif connection.input.is_large:
+                self._large_requests.append(connection)
+            else:
+                self._serve(connection)
+        elif not self._workers.submit(connection):
+            with self._lock:
+                self._retry_or_reject(connection)
 
     def _retry_or_reject(self, connection: ClientConnection) -> None:
         """Retry a request for which no thread could be started; reject it after `_THREAD_WAIT_TIMEOUT`."""
@@ -642,7 +716,7 @@
             self._awaiting_thread[connection] = None
 
     def _serve(self, connection: ClientConnection) -> None:
-        """Serve the request or the reply of an active connection."""
+        """Serve the request of an active connection, or send the reply that was awaited."""
         next_step = NextStep.DISCONNECTED
         try:
             next_step = self._hooks.serve(connection)
@@ -676,6 +750,8 @@
     def _finish_request(self, connection: ClientConnection, next_step: NextStep) -> None:
         """End the active phase of a connection: keep it open or close it."""
         with self._lock:
+            self._pipelined_active -= connection.counts_as_pipelined
+            connection.counts_as_pipelined = connection.is_unsupervised = False
             connection.on_disconnect = ignore_disconnect
             connection.waiting_for_thread_since = 0.0
             connection.idle_since = connection.last_reply = time.monotonic()
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -40,7 +40,7 @@
     write a reply; `first_byte_timeout`: until a client's first byte (None: `idle_timeout` applies). When more
     than `eviction_threshold` connections are open, those that have been idle for `min_idle` may be closed.
     `memory_bytes`: of requests and unwritten replies, where the server has no budget in common with others.
-    `max_threads`: that call the handler at once; None if it waits for its replies.
+    `handler_waits`: the handler may wait, so that it is called on a thread of its own.
     """
 
     max_connections: int = 2000
@@ -54,7 +54,7 @@
     eviction_threshold: int = 1 << 30
     min_idle: float = 2.0
     memory_bytes: int = 256 << 20
-    max_threads: int | None = None
+    handler_waits: bool = True
 
     def for_connections(self) -> ConnectionLimits:
         """Return the limits that the connection manager enforces."""
@@ -68,7 +68,7 @@
             self.head_timeout,
             self.body_timeout,
             self.message_limits,
-            self.max_threads,
+            self.handler_waits,
         )
 
 
@@ -121,7 +121,7 @@
         """Whether so much input waits that the server cannot notice if the client disconnects."""
 
     def reply_later(self, make_reply: Callable[[], Reply]) -> None:
-        """Send the reply that `make_reply` returns, which is called on another thread. Does not block."""
+        """Send the reply that `make_reply` returns, which the thread of all connections calls. Does not block."""
 
     def send_raw(self, data: bytes) -> None:
         """Write raw bytes instead of a reply; the handler's reply must then have an `until` in the past.
@@ -134,7 +134,7 @@
     """Answers one request, whose first byte arrived at `arrived`."""
 
     def __call__(self, request: Request, body: bytes, arrived: float, client: Exchange) -> Reply | ReplyLater:
-        """Return the reply. Called on a thread that serves the connection."""
+        """Return the reply. Called on a thread of its own, or on that of all connections if it never waits."""
 
 
 class _ActiveConnection:
@@ -192,7 +192,7 @@
         self.address: tuple[str, int] = listener.getsockname()[:2]
         fields = [("Retry-After", "1"), ("Connection", "close"), ("Content-Type", "text/plain")]
         rejection = http1.encode_response(503, fields, b"too many connections\n")
-        hooks = ServerHooks(self._serve, _encode_error, rejection)
+        hooks = ServerHooks(self._serve, _encode_error, rejection, self._report_failure)
         self._connections = ConnectionManager(listener, limits.for_connections(), hooks, self.budget)
         self._stop = threading.Event()
         self._pauses = ProcessPauseDetector(time.monotonic())
@@ -255,6 +255,8 @@
         connection.discards_input = not work.head.keep_alive
         if SOCKET_RECORDER.enabled:
             SOCKET_RECORDER.record("request", *_ports(connection.sock))
+        if connection.waited_too_long:
+            return self._reply(connection, _OVERLOADED)
         client = _ActiveConnection(connection, self._connections, self._limits.write_timeout)
         reply = self._call_handler(connection, lambda: self._handler(work.head, work.body, arrived, client))
         return self._reply(connection, reply)
@@ -267,12 +269,15 @@
         try:
             reply: Reply | ReplyLater = work()
         except Exception as error:  # noqa: BLE001
-            self.handler_failures += 1
-            self.on_handler_failure(error)
+            self._report_failure(error)
             connection.keeps_alive = False
             return plain(500, "failed: internal error", close=True)
         return reply
 
+    def _report_failure(self, error: BaseException) -> None:
+        self.handler_failures += 1
+        self.on_handler_failure(error)
+
     def _reply(self, connection: ClientConnection, reply: Reply | ReplyLater) -> NextStep:
         """Send a reply, or a failure instead of a result if the client's deadline has passed."""
         if isinstance(reply, ReplyLater):
@@ -283,12 +288,7 @@
         # executed.
         if is_late and reply.status < _FIRST_ERROR_STATUS:
             reply = plain(504, "failed: its time is up", close=True)._replace(done=reply.done)
-        close = (
-            reply.close
-            or not connection.keeps_alive
-            or connection.is_unsupervised
-            or self._connections.shutting_down
-        )
+        close = reply.close or not connection.keeps_alive or self._connections.shutting_down
         return self._write(connection, reply._replace(close=close))
 
     def _write(self, connection: ClientConnection, reply: Reply) -> NextStep:
@@ -296,7 +296,11 @@
             SOCKET_RECORDER.record("reply", *_ports(connection.sock), status=reply.status)
         end = ReplyEnd(NextStep.CLOSE if reply.close else NextStep.KEEP_ALIVE, reply.done)
         deadline = time.monotonic() + self._limits.write_timeout
-        return self._connections.send(connection, _encode(reply), deadline, end)
+        try:
+            return self._connections.send(connection, _encode(reply), deadline, end)
+        except BaseException:
+            reply.done()
+            raise
 
 
 def _encode(reply: Reply) -> bytes:
@@ -318,3 +322,6 @@
     """Return a reply whose body is one line of text."""
     content_type = ("Content-Type", "text/plain; charset=utf-8")
     return Reply(status, [content_type, *fields], text.encode() + b"\n", close)
+
+
+_OVERLOADED = plain(503, "refused: too many pipelined requests", fields=(("Retry-After", "1"),))
--- a/gingervane/node/client_front.py
+++ b/gingervane/node/client_front.py
@@ -250,7 +250,11 @@
             self.release(result.may_have_run)
             query.release()
 
-        return self._front.reply(result)._replace(done=release)
+        try:
+            return self._front.reply(result)._replace(done=release)
+        except BaseException:
+            release()
+            raise
 
 
 def _read_body(body: bytes) -> tuple[list[Any], bytes]:
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -61,7 +61,6 @@
 _BODY_TIMEOUT = 1.0  # seconds to read the body of a request
 _WRITE_TIMEOUT = 5.0  # seconds to write a reply
 _FIRST_BYTE_TIMEOUT = 2.0  # seconds until the first byte on a new connection
-_CLIENT_THREADS = 4  # that parse queries and write replies; none of them waits
 _IDLE_SHARE = 0.8  # share of the replicas' idle timeout after which a connection is no longer written to
 
 _EXIT_INVALID_CONFIGURATION = 2
@@ -149,7 +148,7 @@
             message_limits=Limits(_MAX_HEAD_BYTES, _MAX_BODY_BYTES),
             first_byte_timeout=_FIRST_BYTE_TIMEOUT,
             eviction_threshold=descriptors.client_soft_limit,
-            max_threads=_CLIENT_THREADS,
+            handler_waits=False,
         )
         return HttpServer(*self._config.listen, self.front.handle, limits, self.budget)
 
--- a/gingervane/wire/http1_parser.py
+++ b/gingervane/wire/http1_parser.py
@@ -33,6 +33,7 @@
 _VALUE = re.compile(rb"[\t -~\x80-\xff]*\Z")
 _DIGITS = re.compile(r"[0-9]{1,18}\Z")
 _HEX = re.compile(rb"[0-9A-Fa-f]{1,12}\Z")
+_PLAIN_CHUNK = re.compile(rb"([0-9A-Fa-f]{1,6})\r\n")
 _MAX_CHUNK_LINE_BYTES = 1024  # of the line with the size and the extensions of a chunk
 # Lines cost more time than their bytes do. Clients send a dozen; common servers accept 100 header fields.
 _MAX_HEAD_LINES = 100  # empty lines before a message, its first line and its header fields; also trailers
@@ -212,10 +213,17 @@
         index = 1
         small_chunks = 0
         self._extension_bytes = 0
-        while data := (yield from self.chunk_steps(f"chunk {index}", len(body))):
-            body += data
-            index += 1
-            small_chunks += len(data) < _SMALL_CHUNK_BYTES
+        while True:
+            count, small_count = self._take_plain_chunks(body)
+            index += count
+            small_chunks += small_count
+            if small_chunks <= _MAX_SMALL_CHUNKS:
+                data = yield from self.chunk_steps(f"chunk {index}", len(body))
+                if not data:
+                    break
+                body += data
+                index += 1
+                small_chunks += len(data) < _SMALL_CHUNK_BYTES
             if small_chunks > _MAX_SMALL_CHUNKS:
                 detail = f"more than {_MAX_SMALL_CHUNKS} chunks of under {_SMALL_CHUNK_BYTES} bytes"
                 raise HttpError(400, f"body: {detail}")
@@ -224,6 +232,26 @@
         self._body = bytearray()
         return bytes(body)
 
+    def _take_plain_chunks(self, body: bytearray) -> tuple[int, int]:
+        """Move complete chunks without extensions to `body`; return their number, and that of the small ones.
+
+        All others, and the last chunk, are left to `chunk_steps`, which takes several times as long.
+        """
+        buffer = self.buffer
+        position = count = small_count = 0
+        while small_count <= _MAX_SMALL_CHUNKS and (line := _PLAIN_CHUNK.match(buffer, position)):
+            start = line.end()
+            end = start + int(line[1], 16)
+            too_long = len(body) + end - start > self.limits.body
+            if end == start or too_long or buffer[end : end + 2] != b"\r\n":
+                break
+            body += buffer[start:end]
+            position = end + 2
+            count += 1
+            small_count += end - start < _SMALL_CHUNK_BYTES
+        del buffer[:position]
+        return count, small_count
+
     def chunk_steps(self, where: str = "chunk", body_bytes_before: int = 0) -> Steps[bytes]:
         """Return the next chunk of a body, b"" at its end. `body_bytes_before`: bytes parsed earlier."""
         while (line := self._take_line(_MAX_CHUNK_LINE_BYTES, where + " size", 400)) is None:
