Log and metrics of memory: its division, what is held for whom, connections by phase, closes with their reason

A limit that is too low is a warning and not an error: the platform counts a process that ends as a crash. Found by a test without memory: after a reply had been sent whole, a failure behind it sent a second one (500). It is sent only where a reply is owed.

--- a/gingervane/fronts/client_connection.py
+++ b/gingervane/fronts/client_connection.py
@@ -97,6 +97,7 @@
     """
 
     __slots__ = (
+        "awaits_reply",
         "close_deadline",
         "connected_since",
         "counts_as_pipelined",
@@ -139,6 +140,7 @@
         self.read_deadline = inf  # for the rest of the head or of the body that is being read
         self.last_reply = -inf  # when the previous request was finished; -inf before the first request
         self.work: Work | None = None  # for the next thread that serves the connection
+        self.awaits_reply = False  # a request is complete, and no byte of its reply has been sent
         self.next_step = NextStep.KEEP_ALIVE  # once the client has taken the reply
         self.has_unparsed = False  # bytes were received that were not parsed yet
         self.is_pipelined = False  # the current request arrived before the reply to the one before it
@@ -172,6 +174,44 @@
                 on_failure(error)
 
 
+REPORTED_REASONS = frozenset(
+    {
+        CloseReason.EVICTED,
+        CloseReason.OVER_LIMIT,
+        CloseReason.NO_THREAD,
+        CloseReason.REQUEST_TIMEOUT,
+        CloseReason.OUT_OF_MEMORY,
+        CloseReason.REPLY_UNREAD,
+        CloseReason.INTERNAL_ERROR,
+    }
+)
+
+
+class ClosedConnection(NamedTuple):
+    """A closed connection, for the log. `held_bytes`: of its request; `seconds`: since that began.
+
+    `port`: the client's, 0 if unknown; `requests`: how many were served on the connection.
+    """
+
+    reason: CloseReason
+    phase: Phase
+    port: int
+    requests: int
+    held_bytes: int
+    seconds: float
+
+    @classmethod
+    def of(cls, connection: ClientConnection, reason: CloseReason, now: float) -> ClosedConnection:
+        """Describe a connection that is about to be closed."""
+        try:
+            port = connection.sock.getpeername()[1]
+        except OSError:
+            port = 0
+        seconds = now - connection.request_started
+        held_bytes = connection.input.held_bytes
+        return cls(reason, connection.phase, port, connection.request_number, held_bytes, seconds)
+
+
 def has_unread_data(sock: socket.socket) -> bool | None:
     """Whether a non-blocking socket has data to read.
 
--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -36,7 +36,9 @@
 
 from gingervane.fronts.backlog_age import BacklogAge
 from gingervane.fronts.client_connection import (
+    REPORTED_REASONS,
     ClientConnection,
+    ClosedConnection,
     CloseReason,
     ConnectionLimits,
     Phase,
@@ -82,13 +84,15 @@
     `serve` is called on a worker thread with a connection that has `work`, and returns what the manager does with the
     connection next. `encode_error` returns the reply to a request that could not be read, after which its connection
     is closed. `rejection` is the encoded reply to a connection that is over a limit. `on_failure` is called with an
-    unexpected exception, after which the connection that it concerns is closed.
+    unexpected exception, after which the connection that it concerns is closed. `on_closed` is told of connections
+    that were closed for what their clients did or for lack of room; it must not block.
     """
 
     serve: Callable[[ClientConnection], NextStep]
     encode_error: Callable[[HttpError], bytes]
     rejection: bytes
     on_failure: Callable[[BaseException], None]
+    on_closed: Callable[[ClosedConnection], None]
 
 
 class ConnectionManager:
@@ -229,6 +233,7 @@
 
     def send(self, connection: ClientConnection, data: bytes, deadline: float, reply: ReplyEnd) -> NextStep:
         """Send a reply without waiting; return the next step: `WRITING` if the client must take more of it first."""
+        connection.awaits_reply = False
         unsent = UnsentReply(data, deadline, MemoryHolding(self._budget, MemoryOwner.REPLIES), reply.done)
         sent = unsent.send(connection.sock)
         if sent is Sent.PARTLY and unsent.reserve():
@@ -391,6 +396,8 @@
                     error = HttpError(408, f"request {part}: not complete in time")
                     self._refuse(connection, error, CloseReason.REQUEST_TIMEOUT)
             unwritten = [c for c in oldest(self._writing) if c.output and c.output.deadline <= now]
+            for connection in unwritten:
+                self._hooks.on_closed(ClosedConnection.of(connection, CloseReason.REPLY_UNREAD, now))
             for connection in self._poller.take_unarmed():
                 if self._open.get(connection.descriptor) is connection:
                     self._poller.arm(connection)
@@ -543,6 +550,7 @@
             self._forget_groups(connection)
             connection.phase = Phase.ACTIVE
             connection.request_number += 1
+            connection.awaits_reply = True
             connection.work = request
         self._submit(connection)
 
@@ -618,6 +626,8 @@
     def _begin_close(self, connection: ClientConnection, reason: CloseReason) -> None:
         """Shut down the sending side, and discard input until the client closes or `CLOSE_TIMEOUT` passes."""
         self.close_reasons[reason.value] += 1
+        if reason in REPORTED_REASONS:
+            self._hooks.on_closed(ClosedConnection.of(connection, reason, time.monotonic()))
         self._forget_groups(connection)
         connection.input.close()
         connection.phase = Phase.CLOSING
@@ -658,8 +668,10 @@
         """Close a connection after an unexpected exception; a client that waits for a reply gets an error."""
         if connection.phase is Phase.CLOSING:
             self._close(connection)
-        else:
+        elif connection.phase is Phase.READING or connection.awaits_reply:
             self._refuse(connection, HttpError(500, "failed: internal error"), CloseReason.INTERNAL_ERROR)
+        else:
+            self._begin_close(connection, CloseReason.INTERNAL_ERROR)
 
     def _close(self, connection: ClientConnection) -> None:
         """Close the socket and remove the connection."""
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -17,7 +17,7 @@
 
 from gingervane.coordinator import process_pause
 from gingervane.coordinator.process_pause import ProcessPauseDetector
-from gingervane.fronts.client_connection import ClientConnection, ConnectionLimits
+from gingervane.fronts.client_connection import ClientConnection, ClosedConnection, ConnectionLimits
 from gingervane.fronts.connection_output import NextStep, ReplyEnd
 from gingervane.fronts.connections import ConnectionManager, ServerHooks
 from gingervane.fronts.timed_socket import send_all
@@ -76,6 +76,10 @@
     """Do nothing."""
 
 
+def _ignore_closed(_closed: ClosedConnection) -> None:
+    """Do nothing."""
+
+
 def _ignore_failure(_error: BaseException) -> None:
     """Do nothing."""
 
@@ -192,7 +196,9 @@
         self.address: tuple[str, int] = listener.getsockname()[:2]
         fields = [("Retry-After", "1"), ("Connection", "close"), ("Content-Type", "text/plain")]
         rejection = http1.encode_response(503, fields, b"too many connections\n")
-        hooks = ServerHooks(self._serve, _encode_error, rejection, self._report_failure)
+        hooks = ServerHooks(
+            self._serve, _encode_error, rejection, self._report_failure, lambda closed: self.on_closed(closed)
+        )
         self._connections = ConnectionManager(listener, limits.for_connections(), hooks, self.budget)
         self._stop = threading.Event()
         self._pauses = ProcessPauseDetector(time.monotonic())
@@ -200,6 +206,7 @@
         self.stop_accepting = self._connections.stop_accepting
         self.handler_failures = 0  # requests whose handler raised
         self.on_handler_failure: Callable[[BaseException], None] = _ignore_failure
+        self.on_closed: Callable[[ClosedConnection], None] = _ignore_closed
 
     def start(self) -> None:
         """Start to accept connections and to serve requests."""
@@ -239,6 +246,10 @@
         """System calls that failed for lack of resources on this host, by call and error."""
         return self._connections.failures
 
+    def phase_counts(self) -> Mapping[str, int]:
+        """Return the number of connections by phase."""
+        return self._connections.phase_counts()
+
     @property
     def rejected(self) -> int:
         """Number of connections rejected over the limit or because no thread was available."""
--- a/gingervane/node/memory_limits.py
+++ b/gingervane/node/memory_limits.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from gingervane.limits.memory_budget import BudgetUse
+
 # Memory that the process takes with its first queries: worker threads, caches of the allocator and of the decisions.
 _WARM_UP_BYTES = 2 << 20
 # Of the rest; the remainder is for copies while a request is parsed and sent on, garbage, and a fragmented heap.
@@ -38,6 +40,10 @@
     peak: int
     threads: int
 
+    def as_totals(self) -> dict[str, int]:
+        """Return the values by the names that they have in the log."""
+        return {"rss_kib": self.resident, "peak_rss_kib": self.peak, "threads": self.threads}
+
 
 def divide_memory(limit: int, at_rest: int) -> MemoryLimits:
     """Divide a limit of `limit` bytes, of which `at_rest` are in use before the first request."""
@@ -52,3 +58,8 @@
     except OSError:
         fields = {}
     return ProcessStatus(*(int(fields.get(name, 0)) for name in ("VmRSS", "VmHWM", "Threads")))
+
+
+def budget_totals(use: BudgetUse) -> dict[str, int]:
+    """Return the bytes of the budget by the names that they have in the log."""
+    return {"total": use.total, "used": use.used, "peak": use.peak, **use.by_owner}
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import logging
 import os
 import signal
@@ -20,6 +21,7 @@
 from gingervane.coordinator.replica_start_times import ReplicaStartTimes
 from gingervane.decisions.engine import DecisionEngine
 from gingervane.decisions.membership_watch import WatchOptions
+from gingervane.fronts.client_connection import ClosedConnection
 from gingervane.fronts.http_server import HttpServer, ServerLimits
 from gingervane.limits.memory_budget import MemoryBudget
 from gingervane.node import config as configuration
@@ -28,12 +30,12 @@
 from gingervane.node.descriptor_budget import DescriptorBudget, divide_descriptors
 from gingervane.node.discovery import DiscoveryWatch
 from gingervane.node.endpoint_list import EndpointListError, EndpointListReader
-from gingervane.node.memory_limits import divide_memory, process_status
+from gingervane.node.memory_limits import budget_totals, divide_memory, process_status
 from gingervane.node.peer_socket import PeerSocket
 from gingervane.node.query_log import QueryLog
 from gingervane.node.replica_connection_types import ReplicaConnectionClosed, ReplicaConnectionLimits
 from gingervane.node.replica_connections import ReplicaConnections
-from gingervane.node.settings_log import log_settings
+from gingervane.node.settings_log import log_memory, log_settings
 from gingervane.telemetry.events import LogEvent
 from gingervane.telemetry.log_format import error_fields
 from gingervane.telemetry.node_telemetry import Telemetry
@@ -89,6 +91,7 @@
         self.front = ClientFront(self.core, config.class_names, config.shards, self.budget)
         self.server = self._make_server(descriptors)
         self.server.on_handler_failure = self._request_handler_failed
+        self.server.on_closed = self._client_connection_closed
         self._add_counters()
 
     def _make_core(self, reader: EndpointListReader, descriptors: DescriptorBudget) -> QueryCoordinator:
@@ -162,11 +165,27 @@
         self.telemetry.add_source("client_connections_ended", lambda: self.server.close_reasons)
         self.telemetry.add_source("client_requests_refused", lambda: self.front.refusals)
         self.telemetry.add_source("client_calls_failed", lambda: self.server.failures)
+        self.telemetry.add_source("client_connections", self.server.phase_counts)
+        self.telemetry.add_source("memory_refused", lambda: self.budget.refusals)
+        self.telemetry.add_source("memory_budget_bytes", lambda: budget_totals(self.budget.use()))
+        self.telemetry.add_source("process", lambda: process_status().as_totals())
 
     def _request_handler_failed(self, error: BaseException) -> None:
         """Log an error of a request handler, after the client got status 500. Called by the client's thread."""
         self.telemetry.error(LogEvent.REQUEST_HANDLER_FAILED, **error_fields(error))
 
+    def _client_connection_closed(self, closed: ClosedConnection) -> None:
+        """Log a closed connection of a client. Called by the thread of all connections."""
+        self.telemetry.info(
+            LogEvent.CLIENT_CONNECTION_CLOSED,
+            reason=closed.reason,
+            phase=closed.phase.name.lower(),
+            port=closed.port,
+            requests=closed.requests,
+            held_bytes=closed.held_bytes,
+            request_seconds=closed.seconds,
+        )
+
     def _replica_connection_closed(self, closed: ReplicaConnectionClosed) -> None:
         """Count and log a closed connection. Called by the decision thread or the reader of replica connections."""
         self.telemetry.counters.add("replica_connections_ended", closed.reason)
@@ -255,7 +274,10 @@
         sys.stderr.write(f"gingervane: {error}\n")
         return _EXIT_INVALID_CONFIGURATION
     telemetry.start()
+    threading.excepthook = lambda failure: _log_failed_thread(telemetry, failure)
+    faulthandler.enable()  # a crash of the interpreter leaves its stack in the log
     log_settings(telemetry, config)
+    log_memory(telemetry, node.memory)
     node.start()
     address = f"{node.server.address[0]}:{node.server.address[1]}"
     telemetry.info(LogEvent.LISTENING, address=address, threads=threading.active_count())
@@ -263,6 +285,12 @@
     return 0
 
 
+def _log_failed_thread(telemetry: Telemetry, failure: threading.ExceptHookArgs) -> None:
+    thread = failure.thread.name if failure.thread else "unknown"
+    if failure.exc_value is not None:
+        telemetry.error(LogEvent.THREAD_FAILED, thread=thread, **error_fields(failure.exc_value))
+
+
 def _serve_until_stopped(node: Node) -> None:
     """Handle signals until one stops the node."""
     while True:
--- a/gingervane/node/settings_log.py
+++ b/gingervane/node/settings_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from gingervane.node.config import NodeConfig
+from gingervane.node.memory_limits import MemoryLimits
 from gingervane.telemetry.events import LogEvent
 from gingervane.telemetry.node_telemetry import Telemetry
 
@@ -34,4 +35,12 @@
         drain_grace_seconds=settings.drain_grace,
         membership_polled=settings.membership_polled,
         sockets=config.max_sockets,
+        memory_mb=config.memory_bytes / (1 << 20),
     )
+
+
+def log_memory(telemetry: Telemetry, memory: MemoryLimits) -> None:
+    """Log how the memory limit is divided, and a warning if it is too low to be kept."""
+    telemetry.info(LogEvent.MEMORY_DIVIDED, limit=memory.limit, at_rest=memory.at_rest, budget=memory.budget)
+    if memory.is_too_low:
+        telemetry.warning(LogEvent.MEMORY_LIMIT_TOO_LOW, limit=memory.limit, at_rest=memory.at_rest)
--- a/gingervane/telemetry/events.py
+++ b/gingervane/telemetry/events.py
@@ -39,6 +39,12 @@
         "A request's handler raised; its client got status 500.",
     )
 
+    # Clients
+    CLIENT_CONNECTION_CLOSED = (
+        "client_connection_closed",
+        "A client's connection was closed for what it did or for lack of room; `reason` says for which.",
+    )
+
     # Replicas
     REPLICA_EJECTED = "replica_ejected", "A replica was ejected as an outlier, for `ejection_seconds`."
     REPLICA_REINSTATED = "replica_reinstated", "An ejected replica may be sent to again."
@@ -74,6 +80,15 @@
     # The program itself
     CLASS_SETTINGS = "class_settings", "At start: what the platform demands of a query class."
     SETTINGS = "settings", "At start: what the platform demands of the node."
+    MEMORY_DIVIDED = (
+        "memory_divided",
+        "At start: the memory limit, what is in use, and what clients may take.",
+    )
+    MEMORY_LIMIT_TOO_LOW = (
+        "memory_limit_too_low",
+        "At start: the memory limit leaves less than the least that serving needs; the process may pass it.",
+    )
+    THREAD_FAILED = "thread_failed", "A thread ended by an unexpected exception: a fault of this program."
     LISTENING = "listening", "Requests are accepted from now on."
     READY = "ready", "The node is reported as ready: it has a list, or discovery has not sent one."
     CONFIGURATION_RELOADED = "configuration_reloaded", "SIGHUP: the configuration was read again."
