Related paths: spoilt answers and the daemon's requests have a bound of memory

The first bytes alone are kept now; a longer frame is read to its end and its answer is spoilt, as before. - The daemon took 2,000 connections with 4 MiB bodies each. listen.max_request_memory (256 MiB, at least four requests, checked by check-config) bounds them.

--- a/gingervane/daemon/assembly.py
+++ b/gingervane/daemon/assembly.py
@@ -84,5 +84,6 @@
         write_timeout=listen.write_timeout,
         message_limits=Limits(listen.max_head_bytes, listen.max_body_bytes),
         thread_stack_bytes=listen.stack_bytes,
+        memory_bytes=listen.max_request_memory,
     )
     return HttpServer(listen.host, listen.port, handler, limits)
--- a/gingervane/node/replica_connection_types.py
+++ b/gingervane/node/replica_connection_types.py
@@ -11,6 +11,7 @@
 
 _RESULT_BYTES = 100  # size at which each result counts towards the limit on all results
 _CELL_BYTES = 16  # length of a replica's value
+MAX_VALUE_BYTES = _CELL_BYTES  # of a valid answer
 _HEX_DIGITS = b"0123456789abcdef"
 
 
--- a/gingervane/settings/tables.py
+++ b/gingervane/settings/tables.py
@@ -23,7 +23,10 @@
 
 
 class Listen(Table):
-    """The address to serve clients on, and limits on their connections and requests."""
+    """The address to serve clients on, and limits on their connections and requests.
+
+    `max_request_memory`: bytes of all requests that are not complete, and of replies that clients have not taken.
+    """
 
     host: str = "127.0.0.1"
     port: Annotated[int, Field(ge=0, le=65535)] = 0
@@ -38,6 +41,14 @@
     max_queries: Count = 64
     max_matchers: Count = 64
     stack_bytes: Annotated[int, Field(ge=131072, le=8 << 20)] = 262144
+    max_request_memory: Bytes = 256 << 20
+
+    @model_validator(mode="after")
+    def _check_memory(self) -> Listen:
+        least = 4 * (self.max_head_bytes + self.max_body_bytes)  # large requests may take a third of it
+        if self.max_request_memory < least:
+            raise ValueError(f"max_request_memory: {self.max_request_memory} is under {least}, four requests")
+        return self
 
 
 class Shards(Table):
--- a/gingervane/wire/frames.py
+++ b/gingervane/wire/frames.py
@@ -18,6 +18,7 @@
 MAX_FRAME_BYTES = (
     64 * 1024
 )  # letter and payload of a frame from a replica; equals the platform's limit of HTTP bodies
+MAX_REPLY_LINE_BYTES = 1200  # of a valid reply's first line, with its end
 _HEADER_BYTES = 5  # length and letter
 
 _LENGTH = struct.Struct("<I")
@@ -82,11 +83,17 @@
 
 
 class FrameReader:
-    """Splits the byte stream of one connection into frames of at most `max_bytes`."""
+    """Splits the byte stream of one connection into frames of at most `max_bytes`.
 
-    def __init__(self, max_bytes: int = MAX_FRAME_BYTES) -> None:
+    Of a payload its first `max_payload_bytes` are kept and returned: a frame that is longer than any valid one is
+    read to its end, so that the frames behind it are found, but not held in memory.
+    """
+
+    def __init__(self, max_bytes: int = MAX_FRAME_BYTES, max_payload_bytes: int = MAX_FRAME_BYTES) -> None:
         self._max_bytes = max_bytes
+        self._max_payload_bytes = max_payload_bytes
         self._buffer = bytearray()
+        self._dropped = 0  # bytes of the first frame in the buffer that were not kept
 
     @property
     def buffered_bytes(self) -> int:
@@ -107,9 +114,15 @@
             raise FrameError(f"frame: a length of {length} bytes")
         if buffer[4:5] not in (b"a", b"p", b"l", b"e"):
             raise FrameError(f"frame: unknown letter {bytes(buffer[4:5])!r}")
-        if len(buffer) < 4 + length:
+        is_complete = len(buffer) + self._dropped >= 4 + length
+        end = min(len(buffer), 4 + length - self._dropped)
+        kept_end = min(end, _HEADER_BYTES + self._max_payload_bytes)
+        if not is_complete:
+            del buffer[kept_end:]
+            self._dropped += end - kept_end
             return None
         letter = bytes(buffer[4:5])
-        payload = bytes(buffer[5 : 4 + length])
-        del buffer[: 4 + length]
+        payload = bytes(buffer[_HEADER_BYTES:kept_end])
+        del buffer[:end]
+        self._dropped = 0
         return letter, payload
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -33,6 +33,20 @@
     assert not reader.buffered_bytes
 
 
+# Guards against memory for answers that are longer than any valid one, on each of hundreds of connections.
+@given(st.lists(st.integers(0, 3000), min_size=1, max_size=5), st.integers(1, 700))
+def test_of_a_long_payload_its_first_bytes_alone_are_held(sizes: list[int], step: int) -> None:
+    payloads = [bytes([number]) * size for number, size in enumerate(sizes)]
+    stream = b"".join(frames.encode_frame(b"a", payload) for payload in payloads)
+    reader, received = frames.FrameReader(max_payload_bytes=100), []
+    for start in range(0, len(stream), step):
+        reader.feed(stream[start : start + step])
+        while (frame := reader.next_frame()) is not None:
+            received.append(frame)
+        assert reader.buffered_bytes <= 105
+    assert received == [(b"a", payload[:100]) for payload in payloads]
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_are_frames_or_an_error_and_buffered_within_the_bound(noise: bytes) -> None:
     reader = frames.FrameReader(max_bytes=64)
--- a/tests/test_pinned_forms.py
+++ b/tests/test_pinned_forms.py
@@ -69,6 +69,7 @@
     "listen.write_timeout": 10.0,
     "listen.max_head_bytes": 16384,
     "listen.max_body_bytes": 4194304,
+    "listen.max_request_memory": 268435456,
     "listen.max_message_bytes": 16777216,
     "listen.max_queries": 64,
     "listen.max_matchers": 64,
