Soak of misuse: bad clients of 16 kinds at the least memory, beside the soak's faults and series of SIGHUP

Crowds of drawn kinds follow one another at each node (32 MB, 256 to 1,024 descriptors); the judge counts VmHWM over the limit and an unsafe id sent twice by one process as broken rules. Plans of the old soak are unchanged.

--- a/tests/faults/bad_clients.py
+++ b/tests/faults/bad_clients.py
@@ -10,6 +10,7 @@
 import contextlib
 import heapq
 import json
+import os
 import select
 import socket
 import sys
@@ -21,6 +22,8 @@
 
 BODY_BYTES = 60_000  # near the platform's limit of a body
 PIPELINED = 60
+REPEATED = 12
+BAD_PREFIX = "bad-"  # of the ids of their requests
 # A step of a script: bytes to send, seconds to wait, or `REPLY`: wait until something is received.
 REPLY = "reply"
 Step = bytes | float | str
@@ -133,6 +136,19 @@
     yield REPLY
 
 
+def repeated_ids(name: str) -> Iterator[Step]:
+    """Unsafe requests of a client that leaves, and that another connection sends again with the same ids."""
+    prefix, _, number = name.rpartition("-")
+    requests = [request(f"{prefix}-{int(number) // 2}-{i}", path="/book") for i in range(REPEATED)]
+    yield b"".join(requests)
+    yield 0.06
+
+
+def leaves_behind_bytes(name: str) -> Iterator[Step]:
+    yield request(name, parts=3) + request(f"{name}-behind") * 400
+    yield 0.01
+
+
 KINDS: dict[str, Script] = {
     "first-byte": first_byte,
     "fields-in-pieces": many_fields_in_pieces,
@@ -148,6 +164,8 @@
     "unknown-classes": unknown_classes,
     "sound": sound,
     "closed-requests": closed_requests,
+    "repeated-ids": repeated_ids,
+    "leaves-behind-bytes": leaves_behind_bytes,
 }
 # Kinds that read nothing, so that replies fill the buffers of their connections.
 DEAF_KINDS = {"unread-replies"}
@@ -197,8 +215,9 @@
 class BadClients:
     """Runs `count` connections of one kind against a node, on the calling thread, for some seconds."""
 
-    def __init__(self, address: tuple[str, int], kind: str, count: int, prefix: str = "") -> None:
-        self._address, self._kind, self._count, self._prefix = address, kind, count, prefix or kind
+    def __init__(self, address: tuple[str, int], kind: str, count: int) -> None:
+        self._address, self._kind, self._count = address, kind, count
+        self._prefix = f"{BAD_PREFIX}{kind}-{os.getpid()}"
         self._poll = select.epoll()
         self._open: dict[int, _BadConnection] = {}
         self._wake_ups: list[tuple[float, int, _BadConnection]] = []
--- a/tests/faults/judge.py
+++ b/tests/faults/judge.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from math import inf
 
+from faults.bad_clients import BAD_PREFIX
 from faults.ledger import EndpointChange, Ledger, NodeRun, PartReceived, Request
 from faults.plans import ClassPlan, Plan
 from faults.replicas import score_of, value_of
@@ -64,14 +65,37 @@
             if request.status == 200:
                 self._check_answer(request, class_plan)
         for received in self._ledger.parts:
-            if received.id.partition(".")[0] not in known_ids:
+            name = received.id.partition(".")[0]
+            if name not in known_ids and not name.startswith(BAD_PREFIX):
                 self._add("void", f"part {received.id} that no client asked for")
         self._check_drains()
+        self._check_memory()
+        self._check_repeated_ids()
         return self.violations
 
     def _add(self, rule: str, description: str, timed: bool = False) -> None:
         self.violations.append(Violation(rule, description, timed))
 
+    def _check_memory(self) -> None:
+        for run in self._ledger.runs:
+            if run.peak_memory_mb > self._plan.memory_mb:
+                description = f"node {run.node} took {run.peak_memory_mb:.1f} of {self._plan.memory_mb} MB"
+                self._add("memory", description)
+
+    def _check_repeated_ids(self) -> None:
+        """Check that no process sent a part of an unsafe id twice for a client that had left and sent it again."""
+        runs = Counter(
+            (received.id, received.node, self._ledger.run_of(received.node, received.at).started_at)
+            for received in self._ledger.parts
+            if received.id.startswith(f"{BAD_PREFIX}repeated-ids")
+        )
+        for (part, node, _), count in runs.items():
+            executions = count - len(self._skipped_at[part])
+            if executions > 1:
+                self._add(
+                    "duplicate", f"unsafe {part} of a client that left sent {count} times by node {node}"
+                )
+
     # ---- one final answer
 
     def _check_outcome(self, request: Request) -> None:
@@ -102,7 +126,7 @@
         # The node did not read the request: its process had ended, or it closed the connection at the same time, in
         # a graceful shutdown or to make room among many idle clients.
         of_ended_process = request.connected_at < run.started_at
-        if of_ended_process or request.sent_at >= run.terminated_at + 0.5 or self._plan.crowds:
+        if of_ended_process or request.sent_at >= run.terminated_at + 0.5 or self._plan.is_crowded:
             self.races["request crossed the end of a connection"] += 1
             return False
         return True
--- a/tests/faults/ledger.py
+++ b/tests/faults/ledger.py
@@ -116,6 +116,7 @@
     known_version: int
     terminated_at: float = inf  # SIGTERM
     killed_at: float = inf  # SIGKILL
+    peak_memory_mb: float = 0.0
 
     def covers(self, at: float) -> bool:
         return self.started_at <= at <= self.killed_at
--- a/tests/faults/memory_runs.py
+++ b/tests/faults/memory_runs.py
@@ -9,7 +9,6 @@
 import argparse
 import json
 import os
-import re
 import signal
 import socket
 import subprocess
@@ -26,6 +25,7 @@
 from ports import ReservedPort
 
 from faults.bad_clients import KINDS, request
+from faults.node_process import memory_of
 
 ROOT = Path(__file__).parents[2]
 TESTS = ROOT / "tests"
@@ -148,12 +148,7 @@
 
     def memory(self, key: str) -> float:
         """Return `VmHWM` or `VmRSS` in MB; 0 once the process has ended."""
-        try:
-            text = Path(f"/proc/{self.process.pid}/status").read_text()
-        except OSError:
-            return 0.0
-        found = re.search(rf"{key}:\s+(\d+) kB", text)
-        return int(found[1]) / 1024 if found else 0.0
+        return memory_of(self.process.pid, key)
 
     def bad_clients(self, kind: str, connections: int, seconds: float) -> subprocess.Popen[str]:
         """Start bad clients in a process of their own."""
--- a/tests/faults/node_process.py
+++ b/tests/faults/node_process.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -22,6 +23,16 @@
 MAX_SOCKETS = 256  # limit of file descriptors in a node's configuration
 
 
+def memory_of(pid: int, key: str) -> float:
+    """Return `VmHWM` or `VmRSS` of a process in MB; 0 once it has ended."""
+    try:
+        text = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0.0
+    found = re.search(rf"{key}:\s+(\d+) kB", text)
+    return int(found[1]) / 1024 if found else 0.0
+
+
 class Program:
     """How a node is started: the checkout, the interpreter, and additional environment variables."""
 
@@ -87,8 +98,15 @@
         self._ledger.count_fault("discovery moved")
         self.signal(signal.SIGHUP)
 
+    def record_memory(self) -> None:
+        """Record the peak of resident memory of the process so far."""
+        peak_mb = memory_of(self.process.pid, "VmHWM")
+        run = self._ledger.run_of(self.number, time.monotonic())
+        run.peak_memory_mb = max(run.peak_memory_mb, peak_mb)
+
     def signal(self, number: signal.Signals) -> None:
-        """Send a signal; record the time of SIGTERM and SIGKILL."""
+        """Send a signal; record the time of SIGTERM and SIGKILL, and the memory before."""
+        self.record_memory()
         now = time.monotonic()
         run = self._ledger.run_of(self.number, now)
         if number == signal.SIGTERM:
@@ -124,7 +142,7 @@
             "listen": "{}:{}".format(*self.address),
             "discovery": self._discovery_addresses[0],
             "seed": f"{self._plan.seed:x}",
-            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": MAX_SOCKETS},
+            "limits": {"cores": 1.0, "memory_mb": self._plan.memory_mb, "sockets": self._plan.sockets},
             "known": self._initial_list,
             "settings": self._plan.settings(self.number),
         }
--- a/tests/faults/owed_answers.py
+++ b/tests/faults/owed_answers.py
@@ -44,7 +44,7 @@
 
     def _is_expected(self, request: Request) -> bool:
         class_plan = self._plan.classes[request.query_class]
-        if class_plan.retry_safety != "safe" or request.disconnected_at is not None or self._plan.crowds:
+        if class_plan.retry_safety != "safe" or request.disconnected_at is not None or self._plan.is_crowded:
             return False
         since, until = request.sent_at - FAULT_EFFECT_SECONDS, request.sent_at + request.timeout
         run = self._ledger.run_of(request.node, request.sent_at)
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -32,6 +32,17 @@
     lasts: float
 
 
+@dataclass(frozen=True)
+class BadCrowd:
+    """Clients of one kind of `bad_clients.KINDS` that misuse one node for `lasts` seconds."""
+
+    at: float
+    node: int
+    kind: str
+    connections: int
+    lasts: float
+
+
 @dataclass(frozen=True)
 class ClassPlan:
     """A query class. Times in seconds; coverage as a share of the weight."""
@@ -96,6 +107,14 @@
     crowds: tuple[Crowd, ...] = ()
     moves: tuple[tuple[float, int], ...] = ()  # (second, node): discovery moves, and the node gets SIGHUP
     discovery: DiscoveryFaults = NO_FAULTS
+    bad_crowds: tuple[BadCrowd, ...] = ()
+    memory_mb: int = 128  # the limit of each node
+    sockets: int = 256  # descriptors of each node
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether other clients take descriptors, so that a node may close connections to make room."""
+        return bool(self.crowds or self.bad_crowds)
 
     @property
     def seconds_to_kill(self) -> float:
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -26,7 +27,7 @@
 from faults.ledger import Ledger
 from faults.node_process import Node, Program
 from faults.owed_answers import ExpectedAnswers
-from faults.plans import Crowd, Plan, Restart, draw
+from faults.plans import BadCrowd, Crowd, Plan, Restart, draw
 from faults.processor_time import StallMeter, processor_times, stolen_share
 from faults.replicas import EventScheduler, Replica
 
@@ -101,6 +102,8 @@
             node.wait_ready()
         with StallMeter() as meter:
             _PlanRun(plan, nodes, replicas, discovery, ledger).run()
+        for node in nodes:
+            node.record_memory()
         exited_nodes = [
             f"n{n.number}" for n in nodes if n.process.poll() is not None and not n.termination_requested
         ]
@@ -180,6 +183,7 @@
         ]
         events += [(restart.at, partial(self._restart, restart)) for restart in plan.restarts]
         events += [(crowd.at, partial(self._open_idle_connections, crowd)) for crowd in plan.crowds]
+        events += [(crowd.at, partial(self._misuse, crowd)) for crowd in plan.bad_crowds]
         events += [(at, nodes[node].move_discovery) for at, node in plan.moves]
         return events
 
@@ -222,6 +226,18 @@
     def _open_idle_connections(self, crowd: Crowd) -> None:
         hold_idle_connections(self._nodes[crowd.node], crowd.connections, crowd.lasts, self._ledger)
 
+    def _misuse(self, crowd: BadCrowd) -> None:
+        """Run bad clients in a process of their own, so that they do not delay the rig's time stamps."""
+        self._ledger.count_fault(f"bad clients: {crowd.kind}")
+        port = self._nodes[crowd.node].address[1]
+        arguments = [str(port), crowd.kind, str(crowd.connections), str(crowd.lasts)]
+        subprocess.run(
+            [sys.executable, "-m", "faults.bad_clients", *arguments],
+            cwd=ROOT / "tests",
+            stdout=subprocess.DEVNULL,
+            check=True,
+        )
+
 
 if __name__ == "__main__":
     sys.exit(run_campaign("Plays seeded fault plans against real nodes.", draw, play, seconds=3.0))
