Client connections are divided by job: accepting, reading, the table with closing, turns of requests

Accepting, reading, closing with the table of phases, and the order in which large and pipelined requests are served are modules of their own now; tests name the new owners.

--- a/gingervane/fronts/client_connection.py
+++ b/gingervane/fronts/client_connection.py
@@ -100,7 +100,6 @@
         "awaits_reply",
         "close_deadline",
         "connected_since",
-        "counts_as_pipelined",
         "descriptor",
         "discarded_bytes",
         "discards_input",
@@ -122,7 +121,6 @@
         "sock",
         "waited_too_long",
         "waiting_for_thread_since",
-        "waiting_since",
         "work",
     )
 
@@ -149,11 +147,7 @@
         self.is_unsupervised = False  # too much input waits to see whether the client has disconnected
         self.registered = False  # with the poller
         self.waiting_for_thread_since = 0.0  # start of a request for which no thread was available; 0: none
-        self.waiting_since = (
-            0.0  # when a complete request that is large or pipelined began to wait; 0: it does not
-        )
         self.waited_too_long = False  # so that the request is refused
-        self.counts_as_pipelined = False  # among the pipelined requests that are being served
         self.phase = Phase.IDLE
         self.on_disconnect: Callable[[], None] = ignore_disconnect
         self.close_deadline = inf
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -19,7 +19,8 @@
 from gingervane.coordinator.process_pause import ProcessPauseDetector
 from gingervane.fronts.client_connection import ClientConnection, ClosedConnection, ConnectionLimits
 from gingervane.fronts.connection_output import NextStep, ReplyEnd
-from gingervane.fronts.connections import ConnectionManager, ServerHooks
+from gingervane.fronts.connection_table import ServerHooks
+from gingervane.fronts.connections import ConnectionManager
 from gingervane.fronts.timed_socket import send_all
 from gingervane.limits.memory_budget import MemoryBudget
 from gingervane.wire import http1
@@ -335,4 +336,6 @@
     return Reply(status, [content_type, *fields], text.encode() + b"\n", close)
 
 
-_OVERLOADED = plain(503, "refused: too many pipelined requests", fields=(("Retry-After", "1"),))
+_OVERLOADED = plain(
+    503, "refused: too many large or pipelined requests are open", fields=(("Retry-After", "1"),)
+)
--- a/gingervane/node/descriptor_budget.py
+++ b/gingervane/node/descriptor_budget.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from gingervane.fronts.connections import MAX_CLOSING
+from gingervane.fronts.connection_table import MAX_CLOSING
 from gingervane.node.replica_connections import SPARE_DESCRIPTORS
 
 OWN_DESCRIPTORS = 24  # the listener, discovery, datagrams, epoll, standard streams and a reserve
--- a/gingervane/wire/http1_parser.py
+++ b/gingervane/wire/http1_parser.py
@@ -68,8 +68,8 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes that are kept of the present message and those after it."""
-        return len(self.buffer) + len(self._body)
+        """Bytes that are kept of the present message and those after it, with what the buffers have in reserve."""
+        return self.buffer.__alloc__() + self._body.__alloc__()
 
     def _take_line(self, max_bytes: int, description: str, status: int = 431) -> bytes | None:
         """Return the next line without its CRLF, or None if it is incomplete. `max_bytes` bounds it with its CRLF."""
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -28,7 +28,7 @@
 )
 from ports import ReservedPort
 
-from gingervane.fronts.connections import MAX_CLOSING
+from gingervane.fronts.connection_table import MAX_CLOSING
 
 ROOT = Path(__file__).parent.parent
 
