A refused request leaves nothing behind: an error that is raised again kept the frames of each raise

Cause: NO_ROOM was one exception object for all refusals. Each raise adds its frames to the traceback of the object, and with them the parsed request that was refused. Class: a value that is shared and grows with use; no other module has an exception object at module level (searched). NoRoomError is made anew for each.

--- a/gingervane/fronts/connection_input.py
+++ b/gingervane/fronts/connection_input.py
@@ -17,7 +17,13 @@
 
 _OVERHEAD_BYTES = 1536  # of a request in progress, in addition to its bytes
 _FIELD_BYTES = 180  # of a header field as strings
-NO_ROOM = HttpError(503, "refused: no memory for this request")
+
+
+class NoRoomError(HttpError):
+    """The memory budget has no room for a request."""
+
+    def __init__(self) -> None:
+        super().__init__(503, "refused: no memory for this request")
 
 
 class Received(Enum):
@@ -104,7 +110,7 @@
         return 0
 
     def parse(self) -> ReceivedRequest | None:
-        """Return the next request if it is complete. Raises HttpError, `NO_ROOM` among them."""
+        """Return the next request if it is complete. Raises HttpError, `NoRoomError` among them."""
         if self._parser is None:
             return None
         request = self._parser.advance()
@@ -112,7 +118,7 @@
             fields = len(request.head.headers.pairs)
             self._request_bytes = _OVERHEAD_BYTES + fields * _FIELD_BYTES + len(request.body)
         if not self._holding.resize(self._size):
-            raise NO_ROOM
+            raise NoRoomError
         return request
 
     def release_request(self) -> None:
--- a/gingervane/fronts/connection_reader.py
+++ b/gingervane/fronts/connection_reader.py
@@ -20,7 +20,7 @@
     Phase,
     has_unread_data,
 )
-from gingervane.fronts.connection_input import NO_ROOM, Received
+from gingervane.fronts.connection_input import NoRoomError, Received
 from gingervane.fronts.connection_poller import ConnectionPoller
 from gingervane.fronts.connection_table import MAX_DISCARDED_BYTES, ConnectionTable
 from gingervane.wire.http1_messages import HttpError
@@ -124,7 +124,8 @@
         try:
             request = connection.input.parse()
         except HttpError as error:
-            reason = CloseReason.OUT_OF_MEMORY if error is NO_ROOM else CloseReason.INVALID_REQUEST
+            lacks_room = isinstance(error, NoRoomError)
+            reason = CloseReason.OUT_OF_MEMORY if lacks_room else CloseReason.INVALID_REQUEST
             with self._lock:
                 self._table.refuse(connection, error, reason)
             return
@@ -161,7 +162,7 @@
             victim = next(
                 chain(self._table.large, self._table.reading_body, self._table.reading_head), connection
             )
-            self._table.refuse(victim, NO_ROOM, CloseReason.OUT_OF_MEMORY)
+            self._table.refuse(victim, NoRoomError(), CloseReason.OUT_OF_MEMORY)
         if victim is not connection:
             self._further_reads.append(connection)
 
