The polling thread goes on after any failure, also one outside the handling of a connection

Read again after the change of the front, not seen by callers: an exception in waiting for events, or while a failed connection was closed, would still have ended the thread that serves all clients; has_disconnected used the manager's buffer without its lock where a worker calls it (the daemon's handlers may; the node's runs on the polling thread).

--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -161,8 +161,7 @@
 
     def has_disconnected(self, connection: ClientConnection) -> bool:
         """Whether the client of an active connection has disconnected, also behind bytes that were unread."""
-        is_watched = connection.on_disconnect is not ignore_disconnect  # by the polling thread too
-        with self._lock if is_watched else contextlib.nullcontext():
+        with self._lock:
             received = self._reader.read_ahead(connection)
         if received is Received.NO_ROOM:
             return is_disconnected(connection.sock)
@@ -201,27 +200,47 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            for descriptor, _ in self._poller.wait(self._poll_timeout):
-                if descriptor == self._listener_descriptor and descriptor not in self.table.open:
-                    self._attempt(self._accept)
-                else:
-                    self._attempt(self._handle_event, descriptor)
-            self._attempt(self._serve_further)
-            self._attempt(self._handle_timeouts)
+            if not self._attempt(self._turn):
+                self._stopped.wait(RETRY_PAUSE)
         self._close_all()
 
-    def _attempt(self, action: Callable[..., None], *arguments: object) -> None:
-        """Call an action of the polling thread, which must go on whatever fails, as nothing else accepts or reads."""
+    def _turn(self) -> None:
+        """Wait for events, and do a bounded amount of work."""
+        for descriptor, _ in self._poller.wait(self._poll_timeout):
+            if descriptor == self._listener_descriptor and descriptor not in self.table.open:
+                self._attempt(self._accept)
+            else:
+                self._attempt(self._handle_event, descriptor)
+        self._attempt(self._serve_further)
+        self._attempt(self._handle_timeouts)
+
+    def _attempt(self, action: Callable[..., None], *arguments: object) -> bool:
+        """Call an action of the polling thread, which must go on whatever fails, as nothing else accepts or reads.
+
+        Return whether it succeeded. If not, the connection that it handled is closed.
+        """
         self._handled = arguments[0] if arguments and isinstance(arguments[0], ClientConnection) else None
         try:
             action(*arguments)
         except Exception as error:  # noqa: BLE001 - also if there is no memory for what it does
+            self._recover(error, self._handled)
+            return False
+        finally:
+            self._handled = None
+        return True
+
+    def _recover(self, error: Exception, handled: ClientConnection | None) -> None:
+        with contextlib.suppress(Exception):  # the failure may leave no memory for its report
             self._hooks.on_failure(error)
-            with self._lock:
-                if self._handled is not None and self._handled.phase is not Phase.CLOSED:
-                    self._turns.finish(self._handled)
-                    self.table.close_failed(self._handled)
-                self._acceptor.pause()
+        with self._lock:
+            self._acceptor.pause()
+            if handled is None or handled.phase is Phase.CLOSED:
+                return
+            self._turns.finish(handled)
+            try:
+                self.table.close_failed(handled)
+            except Exception:  # noqa: BLE001 - for instance, no memory for the reply
+                self.table.close(handled)
 
     def _close_all(self) -> None:
         """Close all connections, at the end of the polling thread, but those whose reply a worker makes."""
--- a/tests/test_out_of_memory.py
+++ b/tests/test_out_of_memory.py
@@ -9,6 +9,7 @@
 
 from gingervane.fronts.connection_acceptor import ConnectionAcceptor
 from gingervane.fronts.connection_input import ConnectionInput
+from gingervane.fronts.connection_poller import ConnectionPoller
 from gingervane.fronts.connections import ConnectionManager
 from gingervane.node.client_front import ClientFront
 
@@ -20,6 +21,8 @@
     (ClientFront, "reply"),
     (ConnectionAcceptor, "_add"),
     (ConnectionManager, "send"),
+    (ConnectionManager, "_turn"),
+    (ConnectionPoller, "wait"),
 ]
 
 
