A large or pipelined request that has waited is refused only where there is no room for it

Read again: after a wait of 0.1 s a request was refused also if it could be served at once. Unit tests of the order of requests. Measured: three tests of the order pass.

--- a/gingervane/fronts/request_turns.py
+++ b/gingervane/fronts/request_turns.py
@@ -44,8 +44,9 @@
         taken: list[ClientConnection] = []
         while self._waiting and len(taken) < _PER_TURN:
             connection, size, since = self._waiting[0]
-            connection.waited_too_long = now - since >= _WAIT_TIMEOUT
-            if self._in_use >= self._limit and not connection.waited_too_long:
+            has_room = self._in_use < self._limit
+            connection.waited_too_long = not has_room and now - since >= _WAIT_TIMEOUT
+            if not has_room and not connection.waited_too_long:
                 break
             self._waiting.popleft()
             self._served[connection] = size
