A request that needs two reads is not held up behind those that need many

Read again: each read of a request after its first waited behind all others, four a turn, so that an ordinary client whose head and body come apart waited behind hundreds that send in small pieces. Two reads of a request are made at once now. A receiver that nothing used any more is gone.

--- a/gingervane/fronts/client_connection.py
+++ b/gingervane/fronts/client_connection.py
@@ -115,6 +115,7 @@
         "output",
         "phase",
         "read_deadline",
+        "reads",
         "registered",
         "request_number",
         "request_started",
@@ -136,6 +137,7 @@
         self.request_number = 0  # of requests served on this connection so far
         self.request_started = now  # earliest time at which the first byte of the current request arrived
         self.read_deadline = inf  # for the rest of the head or of the body that is being read
+        self.reads = 0  # of the request that is being read
         self.last_reply = -inf  # when the previous request was finished; -inf before the first request
         self.work: Work | None = None  # for the next thread that serves the connection
         self.awaits_reply = False  # a request is complete, and no byte of its reply has been sent
--- a/gingervane/fronts/connection_input.py
+++ b/gingervane/fronts/connection_input.py
@@ -87,9 +87,8 @@
         if self._parser is None:
             self._parser = RequestParser(self._limits)
         most = self._reserve(len(scratch), is_small)
-        flags = (
-            0 if most else socket.MSG_PEEK
-        )  # without room it matters all the same whether there is anything
+        # Without room it matters all the same whether anything has arrived.
+        flags = 0 if most else socket.MSG_PEEK
         try:
             count = sock.recv_into(scratch, most or 1, flags)
         except OSError as error:
--- a/gingervane/fronts/connection_reader.py
+++ b/gingervane/fronts/connection_reader.py
@@ -26,9 +26,10 @@
 from gingervane.wire.http1_messages import HttpError
 from gingervane.wire.local_failures import is_transient
 
-_FIRST_READ_BYTES = 2048  # of a new request in its turn; most requests are smaller
-_READ_BYTES = 16384  # of a request in each further turn
-_READS_PER_TURN = 4  # of connections whose request has taken a turn already
+_PROMPT_READS = 2  # of a request, before it waits behind those that have had fewer: its head, and its body
+_PROMPT_READ_BYTES = 2048  # of each of those; most requests are smaller
+_READ_BYTES = 16384  # of a request in each further read
+_FURTHER_READS_PER_TURN = 4
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -49,25 +50,27 @@
         self._lock = lock
         self._on_request = on_request
         self._scratch = memoryview(bytearray(_READ_BYTES))  # of the polling thread
-        self._locked_scratch = memoryview(bytearray(_FIRST_READ_BYTES))  # for reading ahead
-        self._further_reads = deque[ClientConnection]()  # readable, but their request has had a turn already
+        self._locked_scratch = memoryview(bytearray(_PROMPT_READ_BYTES))  # for reading ahead
+        self._further_reads = deque[ClientConnection]()  # readable, and read several times already
 
     @property
     def has_further_reads(self) -> bool:
         """Whether a connection waits for its next turn."""
         return bool(self._further_reads)
 
-    def read_later(self, connection: ClientConnection) -> None:
-        """Read a connection, whose request has had a turn already, in its next turn."""
-        self._further_reads.append(connection)
+    def read_soon(self, connection: ClientConnection) -> None:
+        """Read a connection that is readable: at once, or in a later turn if it has been read several times."""
+        if connection.reads < _PROMPT_READS:
+            self._read(connection, _PROMPT_READ_BYTES)
+        else:
+            self._further_reads.append(connection)
 
     def take_further_reads(self) -> list[ClientConnection]:
         """Remove and return the connections that are read in this turn."""
-        return [self._further_reads.popleft() for _ in range(min(len(self._further_reads), _READS_PER_TURN))]
-
-    def read_first(self, connection: ClientConnection) -> None:
-        """Read the first bytes of a new request."""
-        self._read(connection, _FIRST_READ_BYTES)
+        return [
+            self._further_reads.popleft()
+            for _ in range(min(len(self._further_reads), _FURTHER_READS_PER_TURN))
+        ]
 
     def read_further(self, connection: ClientConnection) -> None:
         """Read more of a request, unless its connection was closed meanwhile."""
@@ -97,12 +100,14 @@
         self._table.forget_groups(connection)
         connection.phase = Phase.READING
         connection.request_started = started
+        connection.reads = 0
         connection.read_deadline = started + self._limits.head_timeout
         self._table.reading_head[connection] = None
 
     def _read(self, connection: ClientConnection, most: int) -> None:
         """Receive once up to `most` bytes on a connection that is being read, and parse what has arrived."""
         received = Received.BYTES
+        connection.reads += 1
         if connection.has_unparsed:
             connection.has_unparsed = False
         else:
@@ -143,9 +148,8 @@
     def _await_more(self, connection: ClientConnection) -> None:
         """Wait for more bytes of an incomplete request."""
         if connection.input.take_continue():
-            with contextlib.suppress(
-                OSError
-            ):  # if it fails, the client sends the body all the same, or leaves
+            # If it fails, the client sends the body all the same, or leaves.
+            with contextlib.suppress(OSError):
                 connection.sock.send(_CONTINUE)
         with self._lock:
             if connection.input.has_head and connection in self._table.reading_head:
--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -300,10 +300,8 @@
                 self.table.discard_input(connection)
             elif phase is Phase.ACTIVE and connection.work is None:
                 on_disconnect = self._check_active(connection)
-        if phase is Phase.IDLE and begins:
-            self._reader.read_first(connection)
-        elif phase is Phase.READING:
-            self._reader.read_later(connection)
+        if phase is Phase.READING or (phase is Phase.IDLE and begins):
+            self._reader.read_soon(connection)
         elif phase is Phase.WRITING:
             self._continue_reply(connection)
         elif phase is Phase.ACTIVE and callable(connection.work):
--- a/gingervane/fronts/timed_socket.py
+++ b/gingervane/fronts/timed_socket.py
@@ -1,4 +1,4 @@
-"""Receiving and sending on a socket up to a deadline.
+"""Sending on a socket up to a deadline.
 
 Calls that fail because this host is short of memory are retried.
 """
@@ -16,18 +16,6 @@
 T = TypeVar("T")
 
 
-class TimedReceiver:
-    """Receives from one connection, each time no later than `deadline`."""
-
-    def __init__(self, sock: socket.socket) -> None:
-        self._sock = sock
-        self.deadline = 0.0
-
-    def receive(self, max_bytes: int) -> bytes:
-        """Receive up to `max_bytes`; none at end of stream. Raises TimeoutError at `deadline`, or OSError."""
-        return _call_until(self._sock, self.deadline, lambda: self._sock.recv(max_bytes))
-
-
 def send_all(sock: socket.socket, data: bytes, deadline: float) -> None:
     """Send all of `data`. Raises OSError if the peer has disconnected, TimeoutError at `deadline`."""
     view = memoryview(data)
