Rig: a part that may have come when its replica served again is no part to a drained one

Traced: the node had the list in which the replica serves at 3694.418 and the parts arrived by 3694.427; the judge goes by the earliest time that the rig can prove (the read's time less the rig's longest stall, 10 ms, and 5 ms), 3694.4122, 0.8 ms before the replica served again at 3694.413. The earliest time is right for lateness; where a drain ends inside the interval of a part's arrival the part may have been sent to a serving replica. The interval is no wider than before. The new test has one case that failed before and two that hold the rule (all of the interval inside the drain: broken; all of it after: not).

--- a/tests/faults/judge.py
+++ b/tests/faults/judge.py
@@ -187,9 +187,16 @@
             before = [change for change in changes[received.replica] if change.at <= self._earliest(received)]
             if not before or before[-1].health == "SERVING":
                 continue
+            if self._may_serve_again(changes[received.replica], received):
+                continue
             first = next(c for c in reversed(before) if c is before[0] or self._serves_before(before, c))
             self._check_drained_part(received, first)
 
+    def _may_serve_again(self, changes: list[EndpointChange], received: PartReceived) -> bool:
+        """Return whether a replica served again between the earliest and the latest time of a part's arrival."""
+        earliest = self._earliest(received)
+        return any(change.health == "SERVING" and earliest < change.at <= received.at for change in changes)
+
     @staticmethod
     def _serves_before(changes: list[EndpointChange], change: EndpointChange) -> bool:
         """Return whether the replica served up to this change, so that it starts a drain or a removal."""
--- a/tests/test_fault_rig.py
+++ b/tests/test_fault_rig.py
@@ -32,6 +32,7 @@
 import pytest
 from faults.discovery import DiscoveryService
 from faults.discovery_faults import NO_FAULTS
+from faults.judge import RuleChecker
 from faults.ledger import (
     AnswerForwarded,
     EndpointChange,
@@ -313,3 +314,21 @@
         FaultInjected(10.0, 1, 0),  # on another node's link
     ]
     assert ExpectedAnswers(PLAN, ledger).by_outcome == owed
+
+
+# Guards against a part that is judged by the earliest time of its arrival alone where a drain ends meanwhile.
+@pytest.mark.parametrize(
+    ("earliest", "at", "is_broken"),
+    [(19.99, 20.01, False), (19.98, 19.99, True), (20.001, 20.01, False)],
+)
+def test_a_part_that_may_have_come_when_its_replica_served_again_breaks_nothing(
+    earliest: float, at: float, is_broken: bool
+) -> None:
+    ledger = Ledger(runs=[NodeRun(0, 0.0, 1)], longest_stall=1.0)
+    ledger.endpoint_changes += [
+        EndpointChange(10.0, 0, "DRAINING", 2),
+        EndpointChange(20.0, 0, "SERVING", 3),
+    ]
+    ledger.parts.append(PartReceived(at, earliest, at, 0, 0, "bad-q.0", 0, 1.0, {}))
+    rules = [violation.rule for violation in RuleChecker(PLAN, ledger).check()]
+    assert rules == (["drain"] if is_broken else [])
