Replies that are made are sent before anything else is read

Class: a duty with a time limit queued behind work without one. Replies are a queue of their own now, which is emptied before each event.

--- a/gingervane/fronts/connections.py
+++ b/gingervane/fronts/connections.py
@@ -27,7 +27,7 @@
 import socket
 import threading
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from math import inf
 
@@ -82,6 +82,7 @@
         self._acceptor = ConnectionAcceptor(listener, limits, budget, self.table, self._poller)
         self._reader = ConnectionReader(limits, self.table, self._poller, self._lock, self._submit)
         self._turns = RequestTurns()
+        self._replies = deque[ClientConnection]()  # whose reply can be made
         self._handled: ClientConnection | None = None  # the connection that the polling thread handles
         self._shutting_down = False
         self._stopped = threading.Event()
@@ -177,7 +178,8 @@
                 return False
             connection.work = work
             connection.on_disconnect = ignore_disconnect
-            self._poller.arm(connection)  # the event comes at once
+            self._replies.append(connection)
+            self._poller.arm(connection)  # the event comes at once, and ends a wait of the polling thread
         return True
 
     def send(self, connection: ClientConnection, data: bytes, deadline: float, reply: ReplyEnd) -> NextStep:
@@ -207,13 +209,22 @@
     def _turn(self) -> None:
         """Wait for events, and do a bounded amount of work."""
         for descriptor, _ in self._poller.wait(self._poll_timeout):
+            self._send_replies()
             if descriptor == self._listener_descriptor and descriptor not in self.table.open:
                 self._attempt(self._accept)
             else:
                 self._attempt(self._handle_event, descriptor)
+        self._send_replies()
         self._attempt(self._serve_further)
         self._attempt(self._handle_timeouts)
 
+    def _send_replies(self) -> None:
+        """Send the replies that have been made since the last call, before anything else is read."""
+        while self._replies:
+            connection = self._replies.popleft()
+            if connection.phase is Phase.ACTIVE and callable(connection.work):
+                self._attempt(self._serve, connection)
+
     def _attempt(self, action: Callable[..., None], *arguments: object) -> bool:
         """Call an action of the polling thread, which must go on whatever fails, as nothing else accepts or reads.
 
@@ -304,8 +315,6 @@
             self._reader.read_soon(connection)
         elif phase is Phase.WRITING:
             self._continue_reply(connection)
-        elif phase is Phase.ACTIVE and callable(connection.work):
-            self._serve(connection)
         on_disconnect()
 
     def _check_active(self, connection: ClientConnection) -> Callable[[], None]:
