--- a/tests/test_connection_floods.py
+++ b/tests/test_connection_floods.py
@@ -5,11 +5,24 @@
 import socket
 import time
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
 from connection_tools import BlockableMethod, idle_client, in_background
-from platform_fakes import WAIT_TIMEOUT_SECONDS, Platform, connections_of, query, reply, wait_until
+from platform_fakes import (
+    WAIT_TIMEOUT_SECONDS,
+    Platform,
+    Replica,
+    connections_of,
+    query,
+    reply,
+    wait_until,
+)
+
+from gingervane.fronts.connection_output import NextStep
+from gingervane.fronts.connection_reader import ConnectionReader
+from gingervane.fronts.connections import ConnectionManager
 
 TIMEOUT_MS = 6000  # the deadline of the class
 TURN_SECONDS = 0.3
@@ -99,3 +112,41 @@
     shutdown = in_background(platform.node.server.stop_accepting)
     shutdown.join(WAIT_TIMEOUT_SECONDS)
     assert not shutdown.is_alive() and flood.accepted > 0
+
+
+# Guards against a reply that waits behind the reading of everybody else, at a shutdown until SIGKILL.
+def test_a_reply_that_is_made_is_sent_before_further_requests_are_read(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, connection_events: BlockableMethod
+) -> None:
+    replica, order = Replica(0, lambda wire, part: None), list[str]()
+    platform = Platform(tmp_path, replica)
+    clients = [platform.client() for _ in range(6)]
+    clients[0].sendall(query("held", {0: 1.0}))
+    replica.parts.wait()
+    wait_until(lambda: len(connections_of(platform).table.awaiting_first_byte) == 5, "all are accepted")
+    read, send = ConnectionReader.read_soon, ConnectionManager.send
+
+    def recorded_read(*arguments: Any) -> None:
+        order.append("read")
+        read(*arguments)
+
+    def recorded_send(*arguments: Any) -> NextStep:
+        order.append("send")
+        return send(*arguments)
+
+    monkeypatch.setattr(ConnectionReader, "read_soon", recorded_read)
+    monkeypatch.setattr(ConnectionManager, "send", recorded_send)
+    connection_events.block()
+    for client in clients[1:]:
+        client.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n")  # no end of its head yet
+    assert connection_events.entered.wait(WAIT_TIMEOUT_SECONDS)
+    replica.wires[0].answer("held.0")
+    opened = connections_of(platform).table.open
+    wait_until(lambda: any(callable(c.work) for c in list(opened.values())), "the reply can be made")
+    connection_events.unblock()
+    assert reply(clients[0])[0] == 200
+    wait_until(lambda: order.count("read") == 5, "all others are read")
+    assert order[:2] == ["read", "send"]
+    for client in clients:
+        client.close()
+    platform.close()
