--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -48,7 +48,9 @@
         """`batch_interval`: minimum seconds between two turns; inputs that arrive meanwhile form one batch."""
         self.settings = settings
         self.observer = observer
-        self.admission = Admission(limits, settings.max_retry_after if settings.retry_after_allowed else 0.0)
+        # Seconds; the longest Retry-After of a rejection, 0 where none may be sent.
+        self.max_retry_after = settings.max_retry_after if settings.retry_after_allowed else 0.0
+        self.admission = Admission(limits, self.max_retry_after)
         self.broken = Event()  # set when the decision thread has failed
         self._driver = Driver(engine, settings, observer.attempt_finished)
         self._ports = ports or ClusterPorts()
--- a/gingervane/fronts/connection_input.py
+++ b/gingervane/fronts/connection_input.py
@@ -101,10 +101,11 @@
 
     def _reserve(self, most: int, is_small: bool) -> int:
         """Reserve room for up to `most` bytes, fewer if the request stays small with them; return for how many."""
-        fewer = min(SMALL_REQUEST_BYTES + _OVERHEAD_BYTES - self._size, most)
-        if self._holding.resize(self._size + most, is_small and fewer == most):
+        size = self._size
+        fewer = min(SMALL_REQUEST_BYTES + _OVERHEAD_BYTES - size, most)
+        if self._holding.resize(size + most, is_small and fewer == most):
             return most
-        if fewer > 0 and self._holding.resize(self._size + fewer, is_small):
+        if fewer > 0 and self._holding.resize(size + fewer, is_small):
             return fewer
         return 0
 
--- a/gingervane/fronts/connection_table.py
+++ b/gingervane/fronts/connection_table.py
@@ -37,11 +37,11 @@
 class ServerHooks(NamedTuple):
     """What the manager needs of the server.
 
-    `serve` is called on a worker thread with a connection that has `work`, and returns what the manager does with the
-    connection next. `encode_error` returns the reply to a request that could not be read, after which its connection
-    is closed. `rejection` is the encoded reply to a connection that is over a limit. `on_failure` is called with an
-    unexpected exception, after which the connection that it concerns is closed. `on_closed` is told of connections
-    that were closed for what their clients did or for lack of room; it must not block.
+    `serve` is called with a connection that has `work`, on the thread that serves it, and returns what the manager
+    does with the connection next. `encode_error` returns the reply to a request that could not be read, after which
+    its connection is closed. `rejection` is the encoded reply to a connection that is over a limit. `on_failure` is
+    called with an unexpected exception, after which the connection that it concerns is closed. `on_closed` is told of
+    connections that were closed for what their clients did or for lack of room; it must not block.
     """
 
     serve: Callable[[ClientConnection], NextStep]
--- a/gingervane/node/client_front.py
+++ b/gingervane/node/client_front.py
@@ -60,8 +60,6 @@
         """`budget`: to which open queries are charged."""
         self._core = core
         self._budget = budget
-        settings = core.settings
-        self._max_retry_after = settings.max_retry_after if settings.retry_after_allowed else 0.0
         self._shards = shards
         self._classes = {name: class_index for class_index, name in enumerate(class_names)}
         self._codec = FrameCodec()
@@ -86,7 +84,7 @@
             return plain(500, "its client has left", close=True)
         if client.is_unsupervised():
             self.refusals["too much behind it"] += 1
-            return _rejection("too much was sent behind this request", self._max_retry_after)
+            return _rejection("too much was sent behind this request", self._core.max_retry_after)
         state = self._ids.begin(query_id, self._is_repeatable(plan), time.monotonic())
         if state is not IdState.NEW:
             self.refusals[state.value] += 1
@@ -99,7 +97,7 @@
 
     def _id_refusal(self, state: IdState) -> Reply:
         if state is IdState.NO_ROOM:
-            return _rejection(_ID_REFUSALS[state], self._max_retry_after)
+            return _rejection(_ID_REFUSALS[state], self._core.max_retry_after)
         return plain(409, f"X-Request-ID: {_ID_REFUSALS[state]}")
 
     def _health(self, request: Request) -> Reply:
@@ -115,7 +113,7 @@
         if not query.reserve_memory(body_bytes <= SMALL_REQUEST_BYTES and not client.is_pipelined):
             query.release(may_have_run=False)
             self.refusals["no memory"] += 1
-            return _rejection("no memory for this query", self._max_retry_after)
+            return _rejection("no memory for this query", self._core.max_retry_after)
         try:
             pending = self._core.submit(plan, query)
         except Rejected as error:
--- a/gingervane/node/replica_connection_types.py
+++ b/gingervane/node/replica_connection_types.py
@@ -10,8 +10,7 @@
 from gingervane.wire import frames
 
 _RESULT_BYTES = 100  # size at which each result counts towards the limit on all results
-_CELL_BYTES = 16  # length of a replica's value
-MAX_VALUE_BYTES = _CELL_BYTES  # of a valid answer
+CELL_BYTES = 16  # length of a replica's value
 _HEX_DIGITS = b"0123456789abcdef"
 
 
@@ -92,6 +91,6 @@
 
 def hex_cell(value: bytes) -> str | None:
     """Return a replica's value as text, or None if it is not 16 lower-case hex digits."""
-    if len(value) != _CELL_BYTES or value.strip(_HEX_DIGITS):
+    if len(value) != CELL_BYTES or value.strip(_HEX_DIGITS):
         return None
     return value.decode()
--- a/gingervane/node/reply_reader.py
+++ b/gingervane/node/reply_reader.py
@@ -11,7 +11,7 @@
 from gingervane.interface import AttemptOutcome
 from gingervane.node.connection_recorder import ConnectionRecorder
 from gingervane.node.parts_in_flight import PartInFlight, PartsInFlight
-from gingervane.node.replica_connection_types import MAX_VALUE_BYTES, DecodeCell, PartResult
+from gingervane.node.replica_connection_types import CELL_BYTES, DecodeCell, PartResult
 from gingervane.wire import frames
 from gingervane.wire.frames import FrameError, FrameReader, SubqueryReply
 from gingervane.wire.socket_recorder import SOCKET_RECORDER
@@ -35,7 +35,7 @@
         self._decode_cell = decode_cell
         self._recorder = recorder
         # A payload that is longer than any valid one is kept one byte too long, so that it stays invalid.
-        self._frames = FrameReader(max_payload_bytes=frames.MAX_REPLY_LINE_BYTES + MAX_VALUE_BYTES + 1)
+        self._frames = FrameReader(max_payload_bytes=frames.MAX_REPLY_LINE_BYTES + CELL_BYTES + 1)
 
     def read(self, data: bytes, received_at: float, finished: list[t.AttemptFinished]) -> None:
         """Decode received bytes, and append the attempts that they finish to `finished`.
--- a/tests/faults/memory_runs.py
+++ b/tests/faults/memory_runs.py
@@ -25,7 +25,7 @@
 from ports import ReservedPort
 
 from faults.bad_clients import KINDS, request
-from faults.node_process import memory_of
+from faults.node_process import memory_of, wait_until_ready
 
 ROOT = Path(__file__).parents[2]
 TESTS = ROOT / "tests"
@@ -34,7 +34,6 @@
 SHARDS = 32
 USUAL_PER_SECOND = 20.0
 USUAL_CONNECTIONS = 10
-READY_TIMEOUT_SECONDS = 20.0
 LEAST_MEMORY_MB = 32  # that the platform gives a node
 _LATEST_ANSWER_SECONDS = 8.0
 
@@ -113,7 +112,7 @@
             )
         self._beating = threading.Event()
         threading.Thread(target=self._follow, daemon=True).start()
-        self._wait_ready()
+        wait_until_ready(self.address, self.log)
 
     @staticmethod
     def _start(command: list[str], **options: Any) -> subprocess.Popen[str]:
@@ -133,19 +132,6 @@
         except OSError:
             return
 
-    def _wait_ready(self) -> None:
-        deadline = time.monotonic() + READY_TIMEOUT_SECONDS
-        while time.monotonic() < deadline:
-            try:
-                with socket.create_connection(self.address, 1.0) as sock:
-                    sock.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                    if b" 200 " in sock.recv(4096):
-                        return
-            except OSError:
-                pass
-            time.sleep(0.02)
-        raise AssertionError(f"the node is not ready: {self.log.read_text()[-2000:]}")
-
     def memory(self, key: str) -> float:
         """Return `VmHWM` or `VmRSS` in MB; 0 once the process has ended."""
         return memory_of(self.process.pid, key)
--- a/tests/faults/node_process.py
+++ b/tests/faults/node_process.py
@@ -33,6 +33,19 @@
     return int(found[1]) / 1024 if found else 0.0
 
 
+def wait_until_ready(address: tuple[str, int], log: Path) -> None:
+    """Wait until a node answers that it is ready."""
+    deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+    while time.monotonic() < deadline:
+        with contextlib.suppress(OSError), socket.create_connection(address, 1.0) as sock:
+            sock.settimeout(1.0)
+            sock.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            if b" 200 " in sock.recv(4096):
+                return
+        time.sleep(0.01)
+    raise AssertionError(f"the node at {address} is not ready: {log.read_text()[-2000:]}")
+
+
 def ignore_hang_up() -> None:
     """Ignore SIGHUP until the program handles it, as the deploy file does."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -123,15 +136,7 @@
             self.process.send_signal(number)
 
     def wait_ready(self) -> None:
-        deadline = time.monotonic() + READY_TIMEOUT_SECONDS
-        while time.monotonic() < deadline:
-            with contextlib.suppress(OSError), socket.create_connection(self.address, 1.0) as sock:
-                sock.settimeout(1.0)
-                sock.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                if b" 200 " in sock.recv(4096):
-                    return
-            time.sleep(0.01)
-        raise AssertionError(f"node {self.number} is not ready: {self.log.read_text()[-2000:]}")
+        wait_until_ready(self.address, self.log)
 
     def close(self) -> None:
         with contextlib.suppress(ProcessLookupError):
