A refusal or failure that is decided is sent without waiting for a slot

Callers saw a 503 or 502 only when their time was over, where other requests held the slots of the fronts: search_handler and remote_read took a slot for merging before they looked at the result, and a refusal has nothing to merge.

Both fronts look at the result first; a slot is for answers alone. Refusals and failures carry no time any more: Reply.until, which only ever applied to results, is Reply.result_expires_at and is set for results alone.

--- a/gingervane/fake_servers/consul.py
+++ b/gingervane/fake_servers/consul.py
@@ -263,7 +263,7 @@
         if self.fault == "cut":
             data = http1.encode_response(200, reply.fields, reply.body)
             client.send_raw(data[: len(data) * 2 // 3])
-            return reply._replace(until=0.0)
+            return reply._replace(result_expires_at=0.0)
         return reply
 
     def _json(self, body: Any, index: int, encoded: bytes | None = None) -> Reply:
--- a/gingervane/fronts/http_server.py
+++ b/gingervane/fronts/http_server.py
@@ -92,7 +92,9 @@
     fields: list[tuple[str, str]]
     body: bytes
     close: bool = False
-    until: float | None = None  # the client's deadline, after which a failure is sent instead of a result
+    result_expires_at: float | None = (
+        None  # when a result is of no use to the client any more: it gets a failure
+    )
     done: Callable[[], None] = _nothing_to_release  # called once the reply is written or has failed
 
 
@@ -129,7 +131,7 @@
         """Send the reply that `make_reply` returns, which the thread of all connections calls. Does not block."""
 
     def send_raw(self, data: bytes) -> None:
-        """Write raw bytes instead of a reply; the handler's reply must then have an `until` in the past.
+        """Write raw bytes instead of a reply; the handler's reply must then be a result that has expired.
 
         For fake servers.
         """
@@ -294,7 +296,7 @@
         """Send a reply, or a failure instead of a result if the client's deadline has passed."""
         if isinstance(reply, ReplyLater):
             return NextStep.REPLY_LATER
-        is_late = reply.until is not None and time.monotonic() >= reply.until
+        is_late = reply.result_expires_at is not None and time.monotonic() >= reply.result_expires_at
         # Failures and rejections are sent unchanged. A result is too late to be of use, but a request
         # that has been read must be answered: it gets a failure that does not promise that nothing was
         # executed.
--- a/gingervane/fronts/read_reply.py
+++ b/gingervane/fronts/read_reply.py
@@ -32,30 +32,30 @@
     release: Callable[[], None]  # called once the reply has been written or writing it failed
 
 
+def has_answer(request: ReadRequest, result: ReadResult) -> bool:
+    """Whether the result is an answer that the client accepts."""
+    if result.status is t.QueryStatus.PARTIAL:
+        return request.parameters.partial_allowed
+    return result.status is t.QueryStatus.COMPLETE
+
+
+def unsuccessful_reply(result: ReadResult, retry_safety: RetrySafety) -> Reply:
+    """Return the reply to a request that was rejected or failed."""
+    if result.status is not t.QueryStatus.REJECTED:
+        detail = f"failed: {result.detail or 'no answer in time'}"
+        return plain(502, detail)._replace(done=result.release)
+    # A query that is not idempotent has this status only if it is proved that nothing was executed.
+    proof = retry_safety is not RetrySafety.IDEMPOTENT
+    return rejection(result.retry_after, result.detail or "refused", result.release, proof)
+
+
 class ReadReplyEncoder:
-    """Encodes results as HTTP replies."""
+    """Encodes answers as HTTP replies."""
 
     def __init__(self, shards: ShardIndex, keep_label: bool) -> None:
         self._shards = shards
         self._keep_label = keep_label
 
-    def reply(self, request: ReadRequest, result: ReadResult, retry_safety: RetrySafety) -> Reply:
-        """Return the reply to a request with this result: an answer, a rejection or a failure."""
-        match result.status:
-            case t.QueryStatus.COMPLETE:
-                return self.answer(request, result)
-            case t.QueryStatus.PARTIAL if request.parameters.partial_allowed:
-                return self.answer(request, result)
-            case t.QueryStatus.REJECTED:
-                # A query that is not idempotent has this status only if it is proved that nothing was
-                # executed.
-                proof = retry_safety is not RetrySafety.IDEMPOTENT
-                detail = result.detail or "refused"
-                return rejection(result.retry_after, detail, request.deadline, result.release, proof)
-            case _:
-                detail = f"failed: {result.detail or 'no answer in time'}"
-                return plain(502, detail)._replace(until=request.deadline, done=result.release)
-
     def answer(self, request: ReadRequest, result: ReadResult) -> Reply:
         """Return the reply with a complete or partial result."""
         body = self._encode_series(request, result)
@@ -71,7 +71,7 @@
         if request.parameters.attempts_listed:
             attempts = [self._describe_attempt(attempt) for attempt in result.attempts]
             fields.append((PATH_HEADER, bounded_header_value(attempts)))
-        return Reply(200, fields, body, until=request.deadline, done=result.release)
+        return Reply(200, fields, body, result_expires_at=request.deadline, done=result.release)
 
     def _encode_series(self, request: ReadRequest, result: ReadResult) -> bytes:
         """Merge and encode the series of each query; a child keeps the shard label for its parent."""
--- a/gingervane/fronts/remote_read.py
+++ b/gingervane/fronts/remote_read.py
@@ -22,7 +22,7 @@
 from gingervane.fronts import http_server
 from gingervane.fronts.http_server import Reply, plain
 from gingervane.fronts.leaf_codec import PATH, LeafContent, RemoteReadCodec
-from gingervane.fronts.read_reply import ReadReplyEncoder, ReadResult
+from gingervane.fronts.read_reply import ReadReplyEncoder, ReadResult, has_answer, unsuccessful_reply
 from gingervane.fronts.read_request import FrontLimits, ReadRequest, ReadRequestParser
 from gingervane.fronts.routing import BEGAN_HEADER, FrontQueryClass, Route, rejection
 from gingervane.fronts.shard_matching import PatternError, ShardIndex
@@ -99,7 +99,7 @@
             with self._gate.slot(NAME, latest_deadline):
                 read_request = self._parser.parse(request, body, arrived)
         except QueueFull as error:
-            return rejection(error.retry_after, str(error), latest_deadline, proof=True)
+            return rejection(error.retry_after, str(error), proof=True)
         except HttpError as error:
             return plain(error.status, error.detail)
         except PatternError as error:
@@ -119,17 +119,19 @@
         except plan.TaskRejectedError as error:
             if error.is_loop:
                 return plain(508, str(error), fields=((BEGAN_HEADER, "no"),))
-            return rejection(0.0, str(error), request.deadline, proof=True)
+            return rejection(0.0, str(error), proof=True)
         try:
             if subtree_plan.subtrees and self._tree:
                 result = self._query_subtrees(request, task, subtree_plan, self._tree, client)
             else:
                 result = self._query_leaves(request, task, request.deadline - reserve, client)
         except Rejected as error:
-            return rejection(error.retry_after, str(error), request.deadline, proof=True)
+            return rejection(error.retry_after, str(error), proof=True)
+        if not has_answer(request, result):
+            return unsuccessful_reply(result, self._classes[name].retry_safety)
         try:
             with self._gate.slot(NAME, request.deadline, admit_always=True):
-                return self._reply_encoder.reply(request, result, self._classes[name].retry_safety)
+                return self._reply_encoder.answer(request, result)
         except BaseException:
             result.release()
             raise
--- a/gingervane/fronts/routing.py
+++ b/gingervane/fronts/routing.py
@@ -113,7 +113,6 @@
 def rejection(
     retry_after: float,
     reason: str,
-    deadline: float,
     done: Callable[[], None] = lambda: None,
     proof: bool = False,
 ) -> Reply:
@@ -122,7 +121,7 @@
     `proof`: also promise that nothing of the query was ever executed.
     """
     reply = plain(503, f"refused: {reason}", fields=rejection_headers(retry_after, proof))
-    return reply._replace(until=deadline, done=done)
+    return reply._replace(done=done)
 
 
 def rejection_headers(retry_after: float, proof: bool) -> tuple[tuple[str, str], ...]:
--- a/gingervane/vectors/front.py
+++ b/gingervane/vectors/front.py
@@ -88,7 +88,7 @@
                     execute = read(VectorRequest(collection, decode(body), request, arrived))
                 return execute(client)
             except QueueFull as error:
-                return rejection_reply(str(error), error.retry_after, latest_deadline)
+                return rejection_reply(str(error), error.retry_after)
             except RequestError as error:
                 return error_reply(400, f"Wrong input: {error}")
             except HttpError as error:
--- a/gingervane/vectors/replies.py
+++ b/gingervane/vectors/replies.py
@@ -31,22 +31,22 @@
     return error_reply(404, f"Not found: Collection `{name}` doesn't exist!")
 
 
-def rejection_reply(detail: str, retry_after: float, deadline: float, proof: bool = True) -> Reply:
+def rejection_reply(detail: str, retry_after: float, proof: bool = True) -> Reply:
     """Return 503: the request may be retried safely. `proof`: no part of the request was executed."""
     fields = rejection_headers(retry_after, proof)
-    return error_reply(503, f"refused: {detail or 'refused'}", fields)._replace(until=deadline)
+    return error_reply(503, f"refused: {detail or 'refused'}", fields)
 
 
-def failure_reply(detail: str, deadline: float) -> Reply:
+def failure_reply(detail: str) -> Reply:
     """Return 502: the outcome of the request is unknown."""
-    return error_reply(502, f"failed: {detail}")._replace(until=deadline)
+    return error_reply(502, f"failed: {detail}")
 
 
-def unsuccessful_search_reply(result: t.QueryResult, deadline: float) -> Reply:
+def unsuccessful_search_reply(result: t.QueryResult) -> Reply:
     """Return the reply to a search that was rejected or failed."""
     if result.status is t.QueryStatus.REJECTED:
-        return rejection_reply(result.detail, result.retry_after, deadline, proof=False)
-    return failure_reply(result.detail or "no answer in time", deadline)
+        return rejection_reply(result.detail, result.retry_after, proof=False)
+    return failure_reply(result.detail or "no answer in time")
 
 
 def _json_reply(status: int, content: Any, fields: Iterable[HeaderField]) -> Reply:
--- a/gingervane/vectors/search_handler.py
+++ b/gingervane/vectors/search_handler.py
@@ -40,6 +40,7 @@
     searches: list[SearchRequest]
     collection: Collection
     parameters: ExecutionParameters
+    shard_count: int
     arrived: float
     batch: bool  # return a list of results instead of one result
     in_object: bool  # return the points of a search as a field of an object instead of a list
@@ -83,16 +84,26 @@
         else:
             searches = [read_search(request.body, collection, limits)]
         parameters = read_parameters(request, self._classes, self._settings.search_class)
-        execution = _SearchExecution(searches, collection, parameters, request.arrived, batch, in_object)
+        execution = _SearchExecution(
+            searches,
+            collection,
+            parameters,
+            self._settings.shard_count,
+            request.arrived,
+            batch,
+            in_object,
+        )
         query = self._query(execution)
 
         def execute(client: Exchange) -> Reply:
             try:
                 dispatched = self._dispatcher.dispatch(query, client)
             except Rejected as error:
-                return rejection_reply(str(error), error.retry_after, parameters.deadline)
+                return rejection_reply(str(error), error.retry_after)
+            if not _has_answer(execution, dispatched.result):
+                return unsuccessful_search_reply(dispatched.result)._replace(done=dispatched.release)
             with self._gate.slot(NAME, parameters.deadline, admit_always=True):
-                return self._reply(execution, dispatched)
+                return self._answer(execution, dispatched)
 
         return execute
 
@@ -111,14 +122,11 @@
             parameters.deadline,
         )
 
-    def _reply(self, execution: _SearchExecution, dispatched: DispatchResult) -> Reply:
+    def _answer(self, execution: _SearchExecution, dispatched: DispatchResult) -> Reply:
+        """Return the reply with a complete or partial answer."""
         result = dispatched.result
         shards = self._settings.shard_count
-        deadline = execution.parameters.deadline
-        complete = result.status is t.QueryStatus.COMPLETE and len(result.results) == shards
-        answered = result.status in (t.QueryStatus.COMPLETE, t.QueryStatus.PARTIAL)
-        if not answered or not (complete or execution.parameters.partial_allowed):
-            return unsuccessful_search_reply(result, deadline)._replace(done=dispatched.release)
+        complete = _is_complete(execution, result)
         hits: dict[int, ShardHits] = result.results
         merged = [
             merge_hits(
@@ -134,7 +142,7 @@
         if stale := self._stale_shards(execution.collection, hits):
             fields.append((STALE_HEADER, ",".join(f"s{shard}" for shard in stale)))
         reply = result_reply(execution.format(merged), execution.arrived, fields)
-        return reply._replace(until=deadline, done=dispatched.release)
+        return reply._replace(result_expires_at=execution.parameters.deadline, done=dispatched.release)
 
     def _stale_shards(self, collection: Collection, hits: dict[int, ShardHits]) -> list[int]:
         """Return the shards whose replica lacks a write that this coordinator has acknowledged."""
@@ -146,3 +154,15 @@
         with self._lock:
             self.stale_shard_count += len(stale)
         return stale
+
+
+def _is_complete(execution: _SearchExecution, result: t.QueryResult) -> bool:
+    """Whether the result has the hits of every shard."""
+    return result.status is t.QueryStatus.COMPLETE and len(result.results) == execution.shard_count
+
+
+def _has_answer(execution: _SearchExecution, result: t.QueryResult) -> bool:
+    """Whether the result is an answer that the client accepts."""
+    if result.status not in (t.QueryStatus.COMPLETE, t.QueryStatus.PARTIAL):
+        return False
+    return _is_complete(execution, result) or execution.parameters.partial_allowed
--- a/gingervane/vectors/write_handler.py
+++ b/gingervane/vectors/write_handler.py
@@ -124,20 +124,20 @@
     match outcome.action:
         case KeyAction.WINDOW_EXPIRED:
             detail = "may have run, and replicas no longer know its key: look before you write again"
-            return error_reply(409, f"failed: {detail}")._replace(until=deadline)
+            return error_reply(409, f"failed: {detail}")
         case KeyAction.KEY_REUSED:
             detail = f"header {IDEMPOTENCY_KEY_HEADER}: was used for another content"
-            return error_reply(422, detail)._replace(until=deadline)
+            return error_reply(422, detail)
         case KeyAction.OVER_CAPACITY:
-            return rejection_reply("too many keys are in their window", _OVER_CAPACITY_RETRY_AFTER, deadline)
+            return rejection_reply("too many keys are in their window", _OVER_CAPACITY_RETRY_AFTER)
     match outcome.state:
         case WriteState.COMPLETED:
             fields = [(REPLICATED_SHARE_HEADER, f"{outcome.replicated_share:.3f}")]
             if outcome.replayed:
                 fields.append((REPLAYED_HEADER, "yes"))
             result = {"operation_id": outcome.version, "status": "completed"}
-            return result_reply(result, arrived, fields)._replace(until=deadline)
+            return result_reply(result, arrived, fields)._replace(result_expires_at=deadline)
         case WriteState.NOT_EXECUTED:
-            return rejection_reply(outcome.detail, outcome.retry_after, deadline)
+            return rejection_reply(outcome.detail, outcome.retry_after)
         case _:
-            return failure_reply(outcome.detail, deadline)
+            return failure_reply(outcome.detail)
--- a/tests/test_pinned_wire.py
+++ b/tests/test_pinned_wire.py
@@ -522,7 +522,7 @@
 
 def test_refusals_say_when_to_come_back() -> None:
     def fields(wait: float, proof: bool = False) -> list[tuple[str, str]]:
-        reply = rejection(wait, "why", 1.0, proof=proof)
+        reply = rejection(wait, "why", proof=proof)
         assert (reply.status, reply.body) == (503, b"refused: why\n")
         return reply.fields
 
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -177,7 +177,7 @@
     done = threading.Event()
 
     def late_handler(request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
-        return plain(200, "an answer")._replace(until=time.monotonic() - 1.0, done=done.set)
+        return plain(200, "an answer")._replace(result_expires_at=time.monotonic() - 1.0, done=done.set)
 
     for server in serve(late_handler):
         status, fields, text = send_request(server)
@@ -190,7 +190,7 @@
     machine."""
 
     def late_handler(request: Request, body: bytes, arrived: float, client: Exchange) -> Reply:
-        return plain(502, "in the front's own words")._replace(until=time.monotonic() - 1.0)
+        return plain(502, "in the front's own words")._replace(result_expires_at=time.monotonic() - 1.0)
 
     for server in serve(late_handler):
         status, _, text = send_request(server)
--- a/tests/test_vectors.py
+++ b/tests/test_vectors.py
@@ -30,12 +30,18 @@
 class Fleet(EmbeddedFleet):
     """Both fronts in one daemon, six vector nodes, three replicas per shard, and a write quorum of two."""
 
-    def __init__(self, folder: Path | None = None, window: float = 2.0, **table: Any) -> None:
+    def __init__(
+        self,
+        folder: Path | None = None,
+        window: float = 2.0,
+        limits: dict[str, Any] | None = None,
+        **table: Any,
+    ) -> None:
         grid = VectorGrid(NODES, COLLECTIONS, window=window)
         vector_table = {"repair_sweep": 6000.0, **table}
         if folder:
             vector_table["intents"] = str(folder)
-        super().__init__(vectors=grid, overrides={"vectors": vector_table})
+        super().__init__(vectors=grid, overrides={"vectors": vector_table, "limits": limits or {}})
         self.pool = Pool(Limits(16384, 1 << 26), 4, 30.0)
 
     @property
