First tries and repeats earn a cold replica alike, and no more than was served before

Need: where all holders of a shard are cold, the parts of rejected queries earn slow-start tokens, as nothing would ever be answered otherwise. Those of queries that the client marks as sent again earned none.

Cause: the count of rejected parts measured how often clients come, not what the fleet can serve. Now parts that nobody may be sent count, marked or not, for no more than was answered in as much time at this co-ordinator's busiest ten seconds (at least twenty parts), which ready replicas have served. The engine reads no mark of a repeat any more.

--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -185,9 +185,9 @@
     def _reject(self, query: Query, reason: api.QueryEndReason) -> None:
         """End a query of which no part was sent.
 
-        If the reason is a lack of replicas, its parts earn slow-start tokens, except those of client retries.
+        If the reason is a lack of replicas, its parts earn slow-start tokens.
         """
-        if query.is_unanswerable() and not query.arrival.is_client_retry:
+        if query.is_unanswerable():
             self.slow_start.record_unservable(len(query.parts))
         self.completion.reject_or_fail(query, reason)
 
--- a/gingervane/decisions/slow_start.py
+++ b/gingervane/decisions/slow_start.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from gingervane import interface as api
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.membership import Membership
@@ -20,6 +22,8 @@
 MAX_TOKENS = 1.0
 # Parts that all co-ordinators together may send per overload window even if nothing is answered.
 MIN_PARTS_PER_OVERLOAD_WINDOW = 0.5
+# Parts in a traffic window that a co-ordinator is taken to be asked for as long as it has answered fewer.
+MIN_USUAL_PARTS = 20
 # Parts added to both sides of the answer ratio, so that a few parts change it little.
 ANSWER_RATIO_PRIOR = 20
 
@@ -40,6 +44,8 @@
         self.answered_per_replica = 0.0
         self._parts_requested = SlidingWindowCount(TRAFFIC_WINDOW)
         self._parts_answered = SlidingWindowCount(TRAFFIC_WINDOW)
+        self._most_answered = 0  # parts answered in any window so far
+        self._unservable_at = -inf  # time of the last parts that no replica might be sent
 
     def record_request(self) -> None:
         """Count a part that a query requests."""
@@ -49,13 +55,26 @@
         """Count an answered part. Only answers earn tokens, so that a storm of retries earns none."""
         self.answered_per_replica += 1 / max(self._membership.ready_count, 1)
         self._parts_answered.add(self._context.now)
+        self._most_answered = max(self._most_answered, self._parts_answered.count(self._context.now))
 
     def record_unservable(self, parts: int) -> None:
         """Count parts that no replica may be sent.
 
-        They earn tokens too: where all holders of a shard are cold, nothing would ever be answered otherwise.
+        They earn tokens too: where all holders of a shard are cold, nothing would ever be answered otherwise. In any
+        time they count for no more than was answered in as much time at this co-ordinator's busiest, which ready
+        replicas have served: clients that send rejected queries again earn no more.
         """
-        self.answered_per_replica += parts / max(self._membership.ready_count, 1)
+        now = self._context.now
+        rate = max(self._most_answered, MIN_USUAL_PARTS) / TRAFFIC_WINDOW
+        earning_parts = min(parts, rate * (now - self._unservable_at))
+        self._unservable_at = now
+        self.answered_per_replica += earning_parts / max(self._membership.ready_count, 1)
+
+    def _answer_ratio(self) -> float:
+        """Answered parts for each part that was requested lately; above 1 while few were requested."""
+        now = self._context.now
+        answered = self._parts_answered.count(now) + ANSWER_RATIO_PRIOR
+        return answered / (self._parts_requested.count(now) + ANSWER_RATIO_PRIOR)
 
     def may_send(self, replica: KnownReplica, conservative: bool = False) -> bool:
         """Whether a replica is ready, is not excluded and, if cold, is not close to overload.
@@ -81,10 +100,7 @@
         self._refill_tokens(replica, capacity)
         # Each client retry leads to one more draw, at all co-ordinators, without an answer. The probability is
         # therefore limited to half of the multiple that overloads the replica, in relation to the answers.
-        now = self._context.now
-        answered = self._parts_answered.count(now) + ANSWER_RATIO_PRIOR
-        answer_ratio = answered / (self._parts_requested.count(now) + ANSWER_RATIO_PRIOR)
-        probability = capacity * min(1.0, answer_ratio * self._safe_multiple)
+        probability = capacity * min(1.0, self._answer_ratio() * self._safe_multiple)
         is_drawn = replica.slow_start_sample < probability and replica.slow_start_tokens > -MAX_TOKEN_DEBT
         return is_drawn or (replica.slow_start_tokens >= MAX_TOKENS and not conservative)
 
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -130,7 +130,14 @@
             self.listed_replicas[row.id] = row
         return self.feed(api.MembershipChanged(kind, rows))
 
-    def query(self, *shards: int, query_class: int = 0, time: float | None = None, tenant: int = 0) -> int:
+    def query(
+        self,
+        *shards: int,
+        query_class: int = 0,
+        time: float | None = None,
+        tenant: int = 0,
+        is_client_retry: bool = False,
+    ) -> int:
         number, self.next_query = self.next_query, self.next_query + 1
         query, self.next_id = self.next_id, self.next_id + 1
         kind = self.settings.query_classes[query_class]
@@ -138,7 +145,7 @@
         self.expires[query] = self.now + (kind.deadline if time is None else time)
         self.arrival_times.append(self.now)
         count, expires = len(shards), self.expires[query]
-        arrival = api.QueryArrived(query, number, query_class, tenant, count, expires, False, 0.0)
+        arrival = api.QueryArrived(query, number, query_class, tenant, count, expires, is_client_retry, 0.0)
         self.feed(arrival, *self.make_parts(query, number, shards))
         return query
 
--- a/tests/test_decisions_slow_start.py
+++ b/tests/test_decisions_slow_start.py
@@ -108,3 +108,21 @@
             host.finish(part)
     for actual, target in zip(received, expected, strict=True):
         assert 0.75 * target <= actual <= 1.25 * target, (received, expected)
+
+
+@pytest.mark.parametrize("marked", [False, True])
+def test_queries_that_are_sent_again_earn_a_cold_replica_no_more(marked: bool) -> None:
+    """Where clients do not mark what they send again, each rejected query earned the cold replicas a part more."""
+    earned = list[float]()
+    for interval in (0.1, 0.01):
+        host = Host()
+        host.warm_up(100)
+        cold = (replica(i, started=host.now) for i in (10, 11, 12))
+        host.update_membership(MembershipUpdateKind.FULL, *cold)
+        host.engine.slow_start.may_send = lambda *_, **__: False  # type: ignore[method-assign]
+        before = host.engine.slow_start.answered_per_replica
+        for _ in range(round(3.0 / interval)):
+            host.query(0, is_client_retry=marked)
+            host.wait(interval)
+        earned.append(host.engine.slow_start.answered_per_replica - before)
+    assert 0 < earned[1] <= 1.2 * earned[0]
