A query is refused only if it is not expected to be answered in its caller's time

Cause: admission held the expected latency against 0.9 of the class's aim, 0.65 over a quota, half of that with two steps, and counted a full queue as the aim.

Now: refused if the slowest part that the answer needs is expected later than the time the caller has left (two steps: twice), or is behind a request that has waited for longer than that. Replicas with nothing of ours open are always tried. A full queue counts as the slowest part served lately; an attempt still open when its caller's time ends counts as that long, so that an overload shows however long that time is. A tenant over its quota is refused while requests queue, as others would wait behind it, without a margin of its own. Why it works: what is measured is compared with what the caller has.

--- a/gingervane/decisions/admission.py
+++ b/gingervane/decisions/admission.py
@@ -1,4 +1,8 @@
-"""Admission control: rejects queries that would miss their latency objective at the present load."""
+"""Admission control: rejects queries that are not expected to be answered in their caller's time.
+
+Work that cannot be finished in time is refused before it is begun: the caller can go elsewhere or come back, and
+the replicas' time is left for queries that can be answered.
+"""
 
 from __future__ import annotations
 
@@ -11,15 +15,13 @@
 from gingervane.decisions.latency import LatencyEstimator
 from gingervane.decisions.membership import Membership
 from gingervane.decisions.query_state import Part, Query
-from gingervane.decisions.replica_selection import is_head_of_line_blocked
+from gingervane.decisions.replica_selection import oldest_request_age
 from gingervane.decisions.replica_state import KnownReplica
 from gingervane.decisions.sliding_window import TRAFFIC_WINDOW, SlidingWindowCount
 
-# Largest expected latency of the slowest part that is admitted, as a share of the time to the objective
-# (docs/design.md, admission).
-ADMISSION_LIMIT = 0.9
-# The same for a tenant that exceeds its quota (docs/design.md, admission).
-ADMISSION_LIMIT_OVER_QUOTA = 0.65
+# Expected latency, as a multiple of the class's baseline, above which requests are assumed to queue at the replicas
+# (docs/design.md, no hedge under queueing).
+QUEUEING_LATENCY = 2.0
 # Standard deviations by which a tenant's query count must exceed its quota. The count of each of many co-ordinators
 # is small and scaled up to the fleet, so that random variation alone would exceed the quota (docs/design.md, tenant
 # over its quota).
@@ -68,24 +70,38 @@
         open_requests = sum(len(replica.requests) for replica in replicas) / len(replicas)
         return self._latency.expected(open_requests, self._context.now)
 
+    def is_queueing(self, query_class: int) -> bool:
+        """Whether requests queue at the replicas: parts take much longer than usual for the class."""
+        return self.expected_latency() > QUEUEING_LATENCY * self._latency.baseline[query_class]
+
     def is_over_capacity(self, query: Query, parts: list[Part], replicas: list[KnownReplica]) -> bool:
-        """Whether the query would miss its objective if its parts (at least one) went to these replicas.
+        """Whether the query is to be rejected if its parts (at least one) would go to these replicas.
 
-        True if its slowest part is expected to exceed the limit, or if it cannot be answered without a part at a
-        head-of-line blocked replica.
+        It is if it is not expected to be answered in its caller's time, or if its tenant is over its quota while
+        requests queue: those within their quotas would wait behind it. Idle replicas are always tried: nothing waits
+        there, and nothing would be learned otherwise.
         """
+        if not any(replica.requests for replica in replicas):
+            return False
+        if self._is_over_quota(query.arrival.tenant) and self.is_queueing(query.arrival.query_class):
+            return True
+        return not self._is_expected_in_time(query, parts, replicas)
+
+    def _is_expected_in_time(self, query: Query, parts: list[Part], replicas: list[KnownReplica]) -> bool:
+        """Whether the slowest part that the answer needs is expected in the time that the caller has left."""
         now = self._context.now
-        limit = ADMISSION_LIMIT_OVER_QUOTA if self._is_over_quota(query.arrival.tenant) else ADMISSION_LIMIT
-        limit /= 2 if query.query_class.second_step_parts else 1
+        steps = 2 if query.query_class.second_step_parts else 1
         slowest_latency = self._expected_latency_at(replicas) * self._slowest_to_mean_ratio(query, replicas)
-        if slowest_latency > limit * (query.objective_at - now):
-            return True
+        time_left = query.answer_by - now
+        if steps * slowest_latency > time_left:
+            return False
         assigned = dict(zip(map(id, parts), replicas, strict=True))
 
         def is_missing(part: Part) -> bool:
-            return part.lost or is_head_of_line_blocked(assigned[id(part)], query, now)
+            # A part sent behind a request that has waited for so long would wait for at least as long.
+            return part.lost or oldest_request_age(assigned[id(part)], now) > time_left
 
-        return query.is_unanswerable_without(is_missing)
+        return not query.is_unanswerable_without(is_missing)
 
     def _is_over_quota(self, tenant: int) -> bool:
         quota = self._quotas.get(tenant)
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -16,6 +16,7 @@
 from gingervane import interface as api
 from gingervane.decisions.admission import AdmissionControl
 from gingervane.decisions.attempt_dispatch import AttemptDispatcher
+from gingervane.decisions.attempt_timing import AttemptTiming
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.completeness import QueryState
 from gingervane.decisions.drain_reports import DrainReports
@@ -50,6 +51,7 @@
         self.membership = Membership(settings, self.context, watch_options)
         self.slow_start = SlowStart(settings, self.context, self.membership)
         self.latency = LatencyEstimator(settings.query_classes)
+        self._timing = AttemptTiming(settings, self.membership)
         first_sends = SlidingWindowCount(TRAFFIC_WINDOW)
         self._outlier_detector = OutlierDetector(settings, self.context, self.membership, first_sends)
         self._drain_reports = DrainReports(settings, self.context, self.membership, watch_options)
@@ -142,7 +144,7 @@
         self._retry_budget.record_request()
         self._admission.record_query(event.tenant)
         self.latency.update_baseline(event.query_class)
-        self.context.set_timer(answer_by - now, partial(self.completion.on_deadline, query))
+        self.context.set_timer(answer_by - now, partial(self._on_deadline, query))
         if query_class.required_coverage < query_class.complete_coverage:
             delay = query.objective_at - margin - now
             self.context.set_timer(delay, partial(self.completion.update, query))
@@ -155,6 +157,26 @@
             query.add_part(Part(event, query, self.context.now))
             self._changed_queries[query.arrival.id] = query
 
+    def _on_deadline(self, query: Query) -> None:
+        if not query.settled:
+            self._record_unanswered(query)
+        self.completion.on_deadline(query)
+
+    def _record_unanswered(self, query: Query) -> None:
+        """Count the time that open attempts have taken as their latency, which is at least as long.
+
+        Without them an overload would look shorter than the callers' time however long it is. Attempts at ejected
+        replicas, and those whose answers were lost, say nothing about queues.
+        """
+        if self.context.process_paused:
+            return
+        for part in query.parts:
+            for attempt in part.attempts:
+                replica, sent_at = attempt.replica, attempt.request.sent_at
+                if not replica.ejected_for and replica.last_answered_send_at < sent_at:
+                    now = self.context.now
+                    self.latency.record_outcome(now - sent_at, attempt.requests_ahead, now)
+
     def _start_parts(self, query: Query) -> None:
         """Send the parts of a step, or reject the query."""
         for part in query.parts:
@@ -261,13 +283,17 @@
         if self.context.process_paused:
             return
         query = attempt.part.query
-        # A full queue rejects at once, which says nothing about the queueing delay. Recording these short
-        # latencies would hide an overload and prolong it.
-        rejected = event.outcome is api.AttemptOutcome.REJECTED
-        latency = query.query_class.latency_objective if rejected else event.latency
-        self.latency.record_outcome(
-            replica, query.arrival.query_class, latency, attempt.requests_ahead, self.context.now
-        )
+        query_class = query.arrival.query_class
+        latency = relative_latency = event.latency
+        if event.outcome is api.AttemptOutcome.REJECTED:
+            # A full queue rejects at once, which says nothing about the queueing delay. Recording these short
+            # latencies would hide an overload and prolong it. The slowest served parts were those of a long queue.
+            latency = self.latency.slowest(query_class)
+            # For its caller the part has used up one of the attempts that its time allows.
+            relative_latency = self._timing.share_of_attempt(attempt.part)
+        now = self.context.now
+        self.latency.record_relative_latency(replica, query_class, relative_latency, now)
+        self.latency.record_outcome(latency, attempt.requests_ahead, now)
 
     def _receive_part(self, part: Part, latency: float) -> None:
         """Process the first good answer to a part."""
--- a/gingervane/decisions/hedging.py
+++ b/gingervane/decisions/hedging.py
@@ -26,9 +26,6 @@
 MAX_HEDGED_SHARE = 0.25
 # Hedges that a query may always have, as a share of its parts (docs/design.md, circuit breaker).
 MIN_HEDGED_SHARE_OF_QUERY = 0.10
-# Expected latency, as a multiple of the class's baseline, above which requests are assumed to queue at the replicas
-# (docs/design.md, no hedge under queueing).
-QUEUEING_LATENCY = 2.0
 # Largest missing weight of a query whose late parts count as stragglers and not as queued (docs/design.md).
 MAX_STRAGGLER_WEIGHT = 0.10
 # Seconds after a missing response during which the next send to the replica opens a new connection.
@@ -130,8 +127,7 @@
         A part of a query that is nearly complete is a straggler: its lateness does not indicate queueing.
         """
         query = part.query
-        baseline_latency = self._latency.baseline[query.arrival.query_class]
-        queueing = self._admission.expected_latency() > QUEUEING_LATENCY * baseline_latency
+        queueing = self._admission.is_queueing(query.arrival.query_class)
         return queueing and query.weight_received < 1 - MAX_STRAGGLER_WEIGHT
 
     def _retry_failed(self, part: Part) -> None:
--- a/gingervane/decisions/latency.py
+++ b/gingervane/decisions/latency.py
@@ -57,6 +57,11 @@
             return ranked[int(share * (len(ranked) - 1))]
         return self._initial_percentiles[query_class]
 
+    def slowest(self, query_class: int) -> float:
+        """The longest latency in seconds of the class's last parts, and no less than the mean; 0 before any."""
+        ranked = self.samples[query_class].ranked
+        return max(self.mean_latency, ranked[-1] if ranked else 0.0)
+
     def update_baseline(self, query_class: int) -> None:
         """Lower the baseline to the class's median at once, or raise it slowly, once for each query."""
         raised_baseline = self.baseline[query_class] * BASELINE_GROWTH
@@ -71,14 +76,17 @@
         latency_at_load = self.mean_latency * (1 + requests_per_replica) / (1 + self.mean_requests_ahead)
         return latency_at_load * float(0.5 ** (time_without_outcome / EXPECTED_LATENCY_HALF_LIFE))
 
-    def record_outcome(
-        self, replica: KnownReplica, query_class: int, latency: float, requests_ahead: int, now: float
-    ) -> None:
-        """Update the estimates from an attempt that the replica answered with any response."""
+    def record_outcome(self, latency: float, requests_ahead: int, now: float) -> None:
+        """Update the mean from the latency of an attempt, and from the requests that it found at its replica."""
         self.mean_latency += (latency - self.mean_latency) / OUTCOMES_PER_MOVING_MEAN
         self.mean_latency_at = now
+        self.mean_requests_ahead += (requests_ahead - self.mean_requests_ahead) / OUTCOMES_PER_MOVING_MEAN
+
+    def record_relative_latency(
+        self, replica: KnownReplica, query_class: int, latency: float, now: float
+    ) -> None:
+        """Update a replica's latency relative to the class's median."""
         relative = relative_latency(replica, now)
         median = max(self.percentile(query_class, 0.5), MIN_MEDIAN)
         replica.relative_latency = relative + (latency / median - relative) / RELATIVE_LATENCY_PARTS
         replica.relative_latency_at = now
-        self.mean_requests_ahead += (requests_ahead - self.mean_requests_ahead) / OUTCOMES_PER_MOVING_MEAN
--- a/gingervane/decisions/replica_selection.py
+++ b/gingervane/decisions/replica_selection.py
@@ -29,14 +29,18 @@
 MAX_TRIAL_SHARE = 0.10
 
 
-def is_head_of_line_blocked(replica: KnownReplica, query: Query, now: float) -> bool:
-    """Whether the replica's oldest request is too old, relative to the time in which a part should be answered.
+def oldest_request_age(replica: KnownReplica, now: float) -> float:
+    """Seconds since the oldest request was sent that the replica has not answered; 0 if there is none.
 
     Requests older than an answered one do not count: their parts are lost and not queued.
     """
     answered = replica.last_answered_send_at
-    oldest = next((key.sent_at for key in replica.requests if key.sent_at > answered), now)
-    return now - oldest > MAX_REQUEST_AGE * (query.response_due_at(now) - now)
+    return now - next((key.sent_at for key in replica.requests if key.sent_at > answered), now)
+
+
+def is_head_of_line_blocked(replica: KnownReplica, query: Query, now: float) -> bool:
+    """Whether the replica's oldest request is too old, relative to the time in which a part should be answered."""
+    return oldest_request_age(replica, now) > MAX_REQUEST_AGE * (query.response_due_at(now) - now)
 
 
 class ReplicaSelector:
