Hedges, retries and partial answers follow from the caller's time, not from aim and price

Causes: a hedge or retry was sent only if it could be answered before the aim, after it only where a late answer had a price; until 20 latencies were known half of the aim was both delay and latency, so that the first hedge was always too late; and where more holders hang than may be ejected, the part and its hedge counted as under way. What a partial and a late answer are worth decided when a caller got what was in.

Now (decisions/attempt_timing.py): a hedge or retry is sent if one of median latency would be answered in the caller's time. Until latencies are known the delay divides the caller's time between the attempts that can be made. A part whose hedge had no response either gets another inside cap, breakers and budget. A replica is blocked by a request that waits for longer than an attempt's share of the time left. A partial answer waits for what may still come; a first step ends in time for the second (p95 and median, half at most). A retry that would come too late is not awaited: the query is given up at once.

--- a/gingervane/decisions/attempt_dispatch.py
+++ b/gingervane/decisions/attempt_dispatch.py
@@ -59,6 +59,7 @@
         now = self._context.now
         if part.attempts_made:
             self._retry_budget.record_further_attempt()
+            self._slow_start.record_request()  # one more draw of the cold replicas
         else:
             self._first_sends.add(now)
         part.may_have_run[part.attempts_made] = now
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -51,13 +51,15 @@
         self.membership = Membership(settings, self.context, watch_options)
         self.slow_start = SlowStart(settings, self.context, self.membership)
         self.latency = LatencyEstimator(settings.query_classes)
-        self._timing = AttemptTiming(settings, self.membership)
+        self._timing = AttemptTiming(settings, self.context, self.membership, self.latency)
         first_sends = SlidingWindowCount(TRAFFIC_WINDOW)
         self._outlier_detector = OutlierDetector(settings, self.context, self.membership, first_sends)
         self._drain_reports = DrainReports(settings, self.context, self.membership, watch_options)
-        self._idle_connections = IdleConnectionLimit(self.context)
+        self._idle_connections = IdleConnectionLimit(self.context, self._timing)
         self._retry_budget = RetryBudget(settings, self.context)
-        self._selector = ReplicaSelector(settings, self.context, self.membership, self.slow_start)
+        self._selector = ReplicaSelector(
+            settings, self.context, self.membership, self.slow_start, self._timing
+        )
         self._dispatcher = AttemptDispatcher(
             settings,
             self.context,
@@ -77,9 +79,10 @@
             dispatcher=self._dispatcher,
             first_sends=first_sends,
             idle_connections=self._idle_connections,
-            latency=self.latency,
             outlier_detector=self._outlier_detector,
             selector=self._selector,
+            timing=self._timing,
+            update_query=lambda query: self.completion.update(query),
         )
         self.completion = QueryCompletion(
             settings, self.context, admission=self._admission, dispatcher=self._dispatcher
@@ -136,17 +139,17 @@
         margin = TIMER_MARGIN * self.settings.timer_granularity
         query_class = self.settings.query_classes[event.query_class]
         answer_by = event.expires_at - margin
-        stretch = (query_class.objective_stretch or 0.0) * event.predicted_cost
-        objective = min(query_class.deadline, query_class.latency_objective + stretch)
-        query = Query(event, query_class, min(now + objective, answer_by), answer_by)
+        query = Query(event, query_class, answer_by)
         self.completion.open(query)
         self._changed_queries[event.id] = query
         self._retry_budget.record_request()
         self._admission.record_query(event.tenant)
         self.latency.update_baseline(event.query_class)
         self.context.set_timer(answer_by - now, partial(self._on_deadline, query))
-        if query_class.required_coverage < query_class.complete_coverage:
-            delay = query.objective_at - margin - now
+
+        if query_class.second_step_parts and query_class.required_coverage < query_class.complete_coverage:
+            delay = answer_by - self._timing.second_step_time(query) - now
+            query.first_step_ends_at = now + delay
             self.context.set_timer(delay, partial(self.completion.update, query))
 
     def _on_part_arrived(self, event: api.PartArrived) -> None:
@@ -188,7 +191,7 @@
         elif self._is_over_capacity(query, parts, replicas):
             self._reject(query, api.QueryEndReason.OVERLOAD)
         else:
-            self._send_parts(query, parts, replicas)
+            self._send_parts(parts, replicas)
         self.completion.update(query)
 
     def _is_over_capacity(self, query: Query, parts: list[Part], replicas: list[KnownReplica]) -> bool:
@@ -197,10 +200,10 @@
             return False
         return self._admission.is_over_capacity(query, parts, replicas)
 
-    def _send_parts(self, query: Query, parts: list[Part], replicas: list[KnownReplica]) -> None:
+    def _send_parts(self, parts: list[Part], replicas: list[KnownReplica]) -> None:
         for part, replica in zip(parts, replicas, strict=True):
             # Two parts of one query can use up a cold replica's tokens: the second goes to another replica.
-            preferred = self._selector.is_preferred(replica, query)
+            preferred = self._selector.is_preferred(replica, part)
             target = replica if preferred else self._selector.substitute(part)
             part.lost = target is None or not self._dispatcher.send(part, target)
 
@@ -222,10 +225,19 @@
         part = attempt.part
         if not part.done and event.outcome is api.AttemptOutcome.OK:
             self._receive_part(part, event.latency)
-        elif delay := self._retry_delay(part, event.outcome):
-            self.context.set_timer(delay, partial(self._retry, part))
         else:
+            self._schedule_retry(part, event.outcome)
+
+    def _schedule_retry(self, part: Part, outcome: api.AttemptOutcome) -> None:
+        """Retry a failed part at once or after a delay, or give it up if that would be too late for its caller."""
+        delay = self._retry_delay(part, outcome)
+        if not delay:
             self._retry(part)
+        elif self._timing.can_be_answered(part, delay):
+            self.context.set_timer(delay, partial(self._retry, part))
+        elif not part.done:
+            part.lost = not part.attempts
+            self.completion.update(part.query)
 
     def _retry_delay(self, part: Part, outcome: api.AttemptOutcome) -> float:
         """Seconds before the next attempt at a failed part.
@@ -238,7 +250,7 @@
             median_count = part.attempts_made
         elif outcome is api.AttemptOutcome.NEVER_SENT and part.attempts_not_sent > 1:
             median_count = part.attempts_not_sent
-        return median_count * self.latency.percentile(part.query.arrival.query_class, 0.5)
+        return median_count * self._timing.usual_latency(part)
 
     def _record_health(self, attempt: Attempt, outcome: api.AttemptOutcome) -> None:
         """Record an outcome as evidence for or against the health of the replicas concerned."""
@@ -290,7 +302,7 @@
             # latencies would hide an overload and prolong it. The slowest served parts were those of a long queue.
             latency = self.latency.slowest(query_class)
             # For its caller the part has used up one of the attempts that its time allows.
-            relative_latency = self._timing.share_of_attempt(attempt.part)
+            relative_latency = self._timing.share_of_attempt(attempt.part, attempt.part.first_sent_at)
         now = self.context.now
         self.latency.record_relative_latency(replica, query_class, relative_latency, now)
         self.latency.record_outcome(latency, attempt.requests_ahead, now)
@@ -315,7 +327,7 @@
         """
         if part.done or (part.attempts and not part.has_failed):
             return
-        replica = self._selector.substitute(part)
+        replica = None if part.query.is_unanswerable() else self._selector.substitute(part)
         sent = replica is not None and self._dispatcher.send(part, replica)
         part.lost = not sent and not part.attempts
         self.completion.update(part.query)
--- a/gingervane/decisions/hedging.py
+++ b/gingervane/decisions/hedging.py
@@ -2,23 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
 
 from gingervane import interface as api
 from gingervane.decisions.admission import AdmissionControl
 from gingervane.decisions.attempt_dispatch import AttemptDispatcher
+from gingervane.decisions.attempt_timing import AttemptTiming
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.circuit_breaker import CircuitBreaker
 from gingervane.decisions.idle_connections import IdleConnectionLimit
-from gingervane.decisions.latency import LatencyEstimator
 from gingervane.decisions.outlier_ejection import FAILURE_WEIGHT, MAX_EJECTION, OutlierDetector
 from gingervane.decisions.query_state import Attempt, Part, Query
 from gingervane.decisions.replica_selection import ReplicaSelector
 from gingervane.decisions.replica_state import KnownReplica
 from gingervane.decisions.sliding_window import TRAFFIC_WINDOW, SlidingWindowCount
 
-# Percentile of the class's part latencies that is the hedge delay (docs/design.md).
-HEDGE_PERCENTILE = 0.95
 # Hedge delays after which an attempt counts as without response, unless the replica has answered a part that was
 # sent at the same time or later (docs/design.md).
 NO_RESPONSE_DELAYS = 2
@@ -43,18 +42,21 @@
         dispatcher: AttemptDispatcher,
         first_sends: SlidingWindowCount,
         idle_connections: IdleConnectionLimit,
-        latency: LatencyEstimator,
         outlier_detector: OutlierDetector,
         selector: ReplicaSelector,
+        timing: AttemptTiming,
+        update_query: Callable[[Query], None],
     ) -> None:
+        """`update_query`: ends a query whose outcome is known."""
         self._context = context
         self._admission = admission
         self._dispatcher = dispatcher
         self._first_sends = first_sends
         self._idle_connections = idle_connections
-        self._latency = latency
         self._outlier_detector = outlier_detector
         self._selector = selector
+        self._timing = timing
+        self._update_query = update_query
         self._hedge_breaker = CircuitBreaker(TRAFFIC_WINDOW)
         self.failure_breaker = CircuitBreaker(TRAFFIC_WINDOW)
 
@@ -64,8 +66,7 @@
 
     def start_timer(self, attempt: Attempt) -> None:
         """Schedule a check of the attempt after the hedge delay."""
-        delay = self._latency.percentile(attempt.part.query.arrival.query_class, HEDGE_PERCENTILE)
-        self._context.set_timer(delay, partial(self._on_timer, attempt))
+        self._context.set_timer(self._timing.hedge_delay(attempt.part), partial(self._on_timer, attempt))
 
     def _on_timer(self, attempt: Attempt) -> None:
         """Record a missing response, and send a hedge or a retry if the attempt is still open and one is useful."""
@@ -78,7 +79,9 @@
             newly_ejected = self._check_response(attempt)
         part = attempt.part
         breakers_open = self._breakers_open()
-        if part.has_failed:
+        if part.query.is_unanswerable():
+            self._update_query(part.query)
+        elif part.has_failed:
             self._retry_failed(part)
         elif not breakers_open and self._is_hedge_useful(part) and self._is_below_cap(part):
             self._send_hedge(part)
@@ -93,6 +96,7 @@
         replica = attempt.replica
         if replica.last_answered_send_at >= attempt.request.sent_at:
             return False
+        attempt.unresponsive = True
         was_ejected = replica.ejected_for > 0
         replica.last_unresponsive_at = self._context.now
         self._outlier_detector.record_outcome(replica, FAILURE_WEIGHT, api.EjectionReason.NO_RESPONSE)
@@ -131,40 +135,38 @@
         return queueing and query.weight_received < 1 - MAX_STRAGGLER_WEIGHT
 
     def _retry_failed(self, part: Part) -> None:
-        """Make another attempt at a part that is open at ejected replicas only, if its answer can still have value.
+        """Make another attempt at a part that is open at ejected replicas only, if it can be answered in time.
 
         Such a part has failed, so that the limits of a retry apply: the attempt cap, the retry budget and the retry
-        safety of its class. The cap on open hedges does not apply: it would delay such parts check after check up to
-        the objective, after which nothing would be sent although a late answer has value.
+        safety of its class. The cap on open hedges does not apply: it would delay such parts check after check while
+        the caller's time passes.
         """
-        query = part.query
-        has_late_value = query.query_class.late_answer_value > 0.0
-        if self._can_answer_by(query, query.answer_by if has_late_value else query.objective_at):
+        if self._timing.can_be_answered(part):
             self._send_hedge(part)
 
     def _is_hedge_useful(self, part: Part) -> bool:
-        """Whether a hedge is safe, does not lengthen queues, is the only one and can answer before the objective."""
+        """Whether a hedge is safe, does not lengthen queues, is the only one and can be answered in time.
+
+        If neither the part nor its hedge had a response, one more is useful, although their replicas may not be
+        ejected: where those are more than may be, the caller waited in vain beside an idle holder.
+        """
         query = part.query
         if query.query_class.retry_safety is not api.RetrySafety.IDEMPOTENT or self._is_queueing(part):
             return False
-        return len(part.attempts) == 1 and self._can_answer_by(query, query.objective_at)
-
-    def _can_answer_by(self, query: Query, due: float) -> bool:
-        """Whether an attempt that is sent now would be answered by `due`, at the median latency of the class."""
-        median = self._latency.percentile(query.arrival.query_class, 0.5)
-        return self._context.now + median <= due
+        is_hedged = len(part.attempts) > 1 and not all(attempt.unresponsive for attempt in part.attempts)
+        return not is_hedged and self._timing.can_be_answered(part)
 
     def _is_below_cap(self, part: Part) -> bool:
-        """Whether the number of open hedges is below the cap."""
+        """Whether the number of open hedges, less those without response, is below the cap."""
         attempts = self._dispatcher.open_attempts
-        hedges = sum(attempt.hedged for attempt in attempts.values())
+        hedges = sum(attempt.hedged and not attempt.unresponsive for attempt in attempts.values())
         cap = max(MAX_HEDGED_SHARE * len(attempts), MIN_HEDGED_SHARE_OF_QUERY * len(part.query.parts))
         return hedges < cap
 
     def _send_hedge(self, part: Part) -> None:
         """Send a part to a preferred replica at which it is not open."""
         replica = self._selector.substitute(part)
-        if replica is None or not self._selector.is_preferred(replica, part.query):
+        if replica is None or not self._selector.is_preferred(replica, part):
             return
         if self._dispatcher.send(part, replica, hedged=True):
             self._hedge_breaker.add(self._context.now)
--- a/gingervane/decisions/idle_connections.py
+++ b/gingervane/decisions/idle_connections.py
@@ -10,6 +10,7 @@
 from math import inf
 
 from gingervane import interface as api
+from gingervane.decisions.attempt_timing import AttemptTiming
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.query_state import Attempt
 from gingervane.decisions.replica_state import KnownReplica
@@ -22,8 +23,9 @@
 class IdleConnectionLimit:
     """Closes the connections to a replica that have been idle for too long, before a part is sent over them."""
 
-    def __init__(self, context: BatchContext) -> None:
+    def __init__(self, context: BatchContext, timing: AttemptTiming) -> None:
         self._context = context
+        self._timing = timing
         self._idle_limit = inf  # shortest idle time in seconds after which there was no response
         self._idle_limit_at = 0.0
         self._longest_safe_idle = 0.0  # longest idle time in seconds after which a part was answered
@@ -36,8 +38,10 @@
         a new connection for each part.
         """
         if attempt.idle_before > self._safe_idle_time():
-            objective = attempt.part.query.query_class.latency_objective
-            self._idle_limit = min(self._idle_limit, max(attempt.idle_before, objective))
+            # A connection that was idle for less than an attempt may take was in use.
+            part = attempt.part
+            in_use = self._timing.share_of_attempt(part, part.first_sent_at)
+            self._idle_limit = min(self._idle_limit, max(attempt.idle_before, in_use))
             self._idle_limit_at = self._context.now
 
     def record_answer(self, attempt: Attempt) -> None:
--- a/gingervane/decisions/latency.py
+++ b/gingervane/decisions/latency.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from gingervane import interface as api
 from gingervane.decisions.replica_state import KnownReplica
 from gingervane.decisions.sliding_window import RankedSamples
 
 # Number of samples of a class from which on its percentiles are computed from them (docs/design.md).
 MIN_SAMPLES = 20
-# Percentile assumed before that, as a share of the latency objective (docs/design.md).
-INITIAL_PERCENTILE = 0.5
 # Factor by which the baseline median may grow with each query of the class (docs/design.md).
 BASELINE_GROWTH = 1.02
 # Number of outcomes over which the moving means are taken (docs/design.md, admission).
@@ -42,20 +42,22 @@
 
     def __init__(self, query_classes: tuple[api.QueryClass, ...]) -> None:
         self.samples = [RankedSamples() for _ in query_classes]
-        self._initial_percentiles = [c.latency_objective * INITIAL_PERCENTILE for c in query_classes]
-        self.baseline = list(self._initial_percentiles)  # usual median of each class, without queueing
+        self.baseline = [inf for _ in query_classes]  # usual median of each class, without queueing
         self.mean_latency = 0.0  # moving mean of the latest outcomes, seconds
         self.mean_latency_at = 0.0  # time of the latest outcome
         self.mean_requests_ahead = (
             0.0  # moving mean of the requests that were open at the replica before these
         )
 
-    def percentile(self, query_class: int, share: float) -> float:
-        """The latency in seconds within which this share of the class's last parts was answered."""
+    def percentile(self, query_class: int, share: float) -> float | None:
+        """The latency in seconds within which this share of the class's last parts was answered.
+
+        None before `MIN_SAMPLES` parts were answered.
+        """
         ranked = self.samples[query_class].ranked
         if len(ranked) >= MIN_SAMPLES:
             return ranked[int(share * (len(ranked) - 1))]
-        return self._initial_percentiles[query_class]
+        return None
 
     def slowest(self, query_class: int) -> float:
         """The longest latency in seconds of the class's last parts, and no less than the mean; 0 before any."""
@@ -64,8 +66,9 @@
 
     def update_baseline(self, query_class: int) -> None:
         """Lower the baseline to the class's median at once, or raise it slowly, once for each query."""
-        raised_baseline = self.baseline[query_class] * BASELINE_GROWTH
-        self.baseline[query_class] = min(raised_baseline, self.percentile(query_class, 0.5))
+        median = self.percentile(query_class, 0.5)
+        if median is not None:
+            self.baseline[query_class] = min(self.baseline[query_class] * BASELINE_GROWTH, median)
 
     def expected(self, requests_per_replica: float, now: float) -> float:
         """Mean latency in seconds at this load: the last mean, scaled by the open requests now and at that time.
@@ -85,8 +88,11 @@
     def record_relative_latency(
         self, replica: KnownReplica, query_class: int, latency: float, now: float
     ) -> None:
-        """Update a replica's latency relative to the class's median."""
+        """Update a replica's latency relative to the class's median, if that is known."""
+        median = self.percentile(query_class, 0.5)
+        if median is None:
+            return
         relative = relative_latency(replica, now)
-        median = max(self.percentile(query_class, 0.5), MIN_MEDIAN)
-        replica.relative_latency = relative + (latency / median - relative) / RELATIVE_LATENCY_PARTS
+        multiple = latency / max(median, MIN_MEDIAN)
+        replica.relative_latency = relative + (multiple - relative) / RELATIVE_LATENCY_PARTS
         replica.relative_latency_at = now
--- a/gingervane/decisions/query_completion.py
+++ b/gingervane/decisions/query_completion.py
@@ -7,6 +7,7 @@
 from gingervane.decisions.attempt_dispatch import AttemptDispatcher
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.completeness import QueryState, is_complete, may_answer
+from gingervane.decisions.hedging import NO_RESPONSE_DELAYS
 from gingervane.decisions.query_state import Query
 
 # Number of timer granularities by which a timer is set early, so that the action is in time even if it fires late.
@@ -28,7 +29,6 @@
         self._context = context
         self._admission = admission
         self._dispatcher = dispatcher
-        self._margin = TIMER_MARGIN * settings.timer_granularity
         self.queries = dict[int, Query]()  # open queries by id
         self.queries_by_number = dict[int, Query]()
 
@@ -40,9 +40,10 @@
     def update(self, query: Query) -> None:
         """Answer the query's step or end the query if its outcome is known.
 
-        It is known if the parts suffice for a complete answer, if a partial answer is due or no further part can
-        come, or if no answer is possible. Between its steps a query has no parts, which does not mean that all parts
-        were received: without the check a timer that fires then would give an answer without any part.
+        It is known if the parts suffice for a complete answer, if no further part can come, or if no answer is
+        possible. While a part may still come in the caller's time, a partial answer waits for it, as long as that
+        leaves time for a second step. Between its steps a query has no parts, which does not mean that all parts were
+        received: without the check a timer that fires then would give an answer without any part.
         """
         if not query.state.has_parts:
             return
@@ -53,20 +54,13 @@
             reason = api.QueryEndReason.ALL_PARTS if all_parts else api.QueryEndReason.COMPLETE_COVERAGE
             self._answer(query, True, reason)
         elif query.is_unanswerable():
-            self.reject_or_fail(query, api.QueryEndReason.PARTS_LOST)
+            if not _awaits_proof(query):
+                self.reject_or_fail(query, api.QueryEndReason.PARTS_LOST)
         elif may_answer(query_class, query.state, coverage):
-            if self._is_partial_answer_worth_more(query):
-                self._answer(query, False, api.QueryEndReason.PARTIAL_AT_OBJECTIVE)
-            elif all(part.done or part.lost for part in query.parts):
+            if all(part.done or part.lost for part in query.parts):
                 self._answer(query, False, api.QueryEndReason.PARTIAL_NO_MORE_PARTS)
-
-    def _is_partial_answer_worth_more(self, query: Query) -> bool:
-        """Whether a partial answer now is worth more than a complete answer after the objective."""
-        if self._context.now < query.objective_at - self._margin:
-            return False
-        query_class = query.query_class
-        value = query_class.partial_answer_value * query.weight_received / query_class.complete_coverage
-        return value > query_class.late_answer_value
+            elif query.state is QueryState.FIRST_STEP and self._context.now >= query.first_step_ends_at:
+                self._answer(query, False, api.QueryEndReason.PARTIAL_AT_DEADLINE)
 
     def on_deadline(self, query: Query) -> None:
         """Shortly before the deadline, give a partial answer if the class permits one, else none."""
@@ -118,3 +112,22 @@
     def _cancel_parts(self, query: Query) -> None:
         for part in query.parts:
             self._dispatcher.cancel(part)
+
+
+def _awaits_proof(query: Query) -> bool:
+    """Whether attempts whose replicas may still respond are all that keeps a query from being rejected.
+
+    Without the proof that nothing was executed the caller of such a class may not send it again.
+    """
+    if (
+        query.query_class.retry_safety is api.RetrySafety.IDEMPOTENT
+        or query.state is not QueryState.FIRST_STEP
+    ):
+        return False
+    awaited = False
+    for part in query.parts:
+        expected = {a.number for a in part.attempts if a.hedge_delays < NO_RESPONSE_DELAYS}
+        if not expected.issuperset(part.may_have_run):
+            return False
+        awaited = awaited or bool(part.may_have_run)
+    return awaited
--- a/gingervane/decisions/query_state.py
+++ b/gingervane/decisions/query_state.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 
 from gingervane import interface as api
 from gingervane.decisions.completeness import Coverage, QueryState, may_answer
@@ -23,6 +24,7 @@
     requests_ahead: int  # requests of earlier batches that were open at the replica at this send
     open: bool = True  # neither ended nor cancelled
     hedge_delays: int = 0  # number of hedge delays that have passed since the send
+    unresponsive: bool = False  # counted as without response
 
 
 @dataclass(eq=False, slots=True)
@@ -53,8 +55,10 @@
 
     arrival: api.QueryArrived  # the event with which it arrived
     query_class: api.QueryClass
-    objective_at: float  # time at which its latency objective ends
     answer_by: float  # its deadline, less a margin for timers that fire late
+    first_step_ends_at: float = (
+        inf  # after which a partial answer to the first step leaves time for the second
+    )
     parts: list[Part] = field(default_factory=list)  # of the present step
     parts_received: int = 0
     weight_requested: float = 0.0
@@ -67,10 +71,6 @@
         """Whether the query has completed."""
         return self.state is QueryState.SETTLED
 
-    def response_due_at(self, now: float) -> float:
-        """Time by which a part sent now should be answered: the objective, or after it the deadline."""
-        return self.objective_at if now < self.objective_at else self.answer_by
-
     @property
     def coverage(self) -> Coverage:
         """Coverage of the present step so far."""
--- a/gingervane/decisions/replica_selection.py
+++ b/gingervane/decisions/replica_selection.py
@@ -9,16 +9,14 @@
 from math import inf
 
 from gingervane import interface as api
+from gingervane.decisions.attempt_timing import AttemptTiming
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.latency import relative_latency
 from gingervane.decisions.membership import Membership
-from gingervane.decisions.query_state import Part, Query
+from gingervane.decisions.query_state import Part
 from gingervane.decisions.replica_state import KnownReplica
 from gingervane.decisions.slow_start import SlowStart
 
-# Age of a replica's oldest request above which a new part queued behind it would be late, as a share of the time to
-# the objective or, after it, to the deadline (docs/design.md, head-of-line blocking).
-MAX_REQUEST_AGE = 0.35
 # Cost of sending to another zone, in open requests (docs/design.md, own-zone candidate).
 ZONE_CROSSING_COST = 0.5
 # Relative latency, as a multiple of the best holder's, above which a replica is not used if it has a substitute
@@ -38,21 +36,22 @@
     return now - next((key.sent_at for key in replica.requests if key.sent_at > answered), now)
 
 
-def is_head_of_line_blocked(replica: KnownReplica, query: Query, now: float) -> bool:
-    """Whether the replica's oldest request is too old, relative to the time in which a part should be answered."""
-    return oldest_request_age(replica, now) > MAX_REQUEST_AGE * (query.response_due_at(now) - now)
-
-
 class ReplicaSelector:
     """Assigns replicas to the parts of a query."""
 
     def __init__(
-        self, settings: api.Settings, context: BatchContext, membership: Membership, slow_start: SlowStart
+        self,
+        settings: api.Settings,
+        context: BatchContext,
+        membership: Membership,
+        slow_start: SlowStart,
+        timing: AttemptTiming,
     ) -> None:
         self._zone = settings.zone
         self._context = context
         self._membership = membership
         self._slow_start = slow_start
+        self._timing = timing
         self._trials = 0  # number of parts sent to ejected replicas in this batch
 
     def begin_batch(self) -> None:
@@ -68,8 +67,8 @@
         may_send = self._slow_start.may_send
         return any(may_send(replica) for replica in self._membership.holders(part.arrival.shard))
 
-    def is_preferred(self, replica: KnownReplica, query: Query) -> bool:
-        """Whether the replica may be sent a part of the query without reservations.
+    def is_preferred(self, replica: KnownReplica, part: Part) -> bool:
+        """Whether the replica may be sent a part without reservations.
 
         Its lease must be valid, and it must be healthy or due for a trial, not blocked and not cold. Trials are
         limited, as a query with parts at all ejected replicas would wait for each of them.
@@ -79,12 +78,21 @@
             return False
         if replica.ejected_for:
             is_due = now >= replica.ejected_until and not replica.requests
-            if not is_due or self._trials >= max(1.0, MAX_TRIAL_SHARE * len(query.parts)):
+            if not is_due or self._trials >= max(1.0, MAX_TRIAL_SHARE * len(part.query.parts)):
                 return False
-        if is_head_of_line_blocked(replica, query, now):
+        if self._is_head_of_line_blocked(replica, part):
             return False
         return self._slow_start.may_send(replica, conservative=True)
 
+    def _is_head_of_line_blocked(self, replica: KnownReplica, part: Part) -> bool:
+        """Whether the replica's oldest request has waited for longer than an attempt at the part may take.
+
+        The part would wait behind it for at least as long, and would leave its caller less time than the other
+        attempts need.
+        """
+        now = self._context.now
+        return oldest_request_age(replica, now) > self._timing.share_of_attempt(part, now)
+
     def substitute(self, part: Part) -> KnownReplica | None:
         """Another holder of the part, at which it is not open; None if there is none.
 
@@ -104,7 +112,7 @@
     def _substitution_rank(self, replica: KnownReplica, part: Part) -> tuple[bool, bool, bool, float, bool]:
         return (
             self._membership.leases.is_expired(replica),
-            not self.is_preferred(replica, part.query),
+            not self.is_preferred(replica, part),
             replica in part.tried_replicas,
             len(replica.requests) + relative_latency(replica, self._context.now),
             replica.endpoint.zone != self._zone,
@@ -139,12 +147,10 @@
 
     def _usable_holders(self, part: Part) -> list[KnownReplica]:
         """The part's holders by position, with a substitute for each one that should not be sent to."""
-        query = part.query
         now = self._context.now
         holders = self._membership.holders(part.arrival.shard)
         latencies = [
-            relative_latency(replica, now) if self.is_preferred(replica, query) else inf
-            for replica in holders
+            relative_latency(replica, now) if self.is_preferred(replica, part) else inf for replica in holders
         ]
         max_latency = MAX_RELATIVE_LATENCY * min(latencies, default=0.0)
         usable = [latency < inf and latency <= max_latency for latency in latencies]
--- a/gingervane/decisions/slow_start.py
+++ b/gingervane/decisions/slow_start.py
@@ -46,6 +46,7 @@
         self._parts_answered = SlidingWindowCount(TRAFFIC_WINDOW)
         self._most_answered = 0  # parts answered in any window so far
         self._unservable_at = -inf  # time of the last parts that no replica might be sent
+        self._answered_since_unservable = 0  # parts
 
     def record_request(self) -> None:
         """Count a part that a query requests."""
@@ -55,19 +56,23 @@
         """Count an answered part. Only answers earn tokens, so that a storm of retries earns none."""
         self.answered_per_replica += 1 / max(self._membership.ready_count, 1)
         self._parts_answered.add(self._context.now)
+        self._answered_since_unservable += 1
         self._most_answered = max(self._most_answered, self._parts_answered.count(self._context.now))
 
     def record_unservable(self, parts: int) -> None:
         """Count parts that no replica may be sent.
 
         They earn tokens too: where all holders of a shard are cold, nothing would ever be answered otherwise. In any
-        time they count for no more than was answered in as much time at this co-ordinator's busiest, which ready
-        replicas have served: clients that send rejected queries again earn no more.
+        time they count, with those that are answered, for no more than was answered in as much time at this
+        co-ordinator's busiest, which ready replicas have served: clients that send rejected queries again earn no
+        more.
         """
         now = self._context.now
         rate = max(self._most_answered, MIN_USUAL_PARTS) / TRAFFIC_WINDOW
-        earning_parts = min(parts, rate * (now - self._unservable_at))
+        unanswered = rate * (now - self._unservable_at) - self._answered_since_unservable
+        earning_parts = min(parts, max(unanswered, 0.0))
         self._unservable_at = now
+        self._answered_since_unservable = 0
         self.answered_per_replica += earning_parts / max(self._membership.ready_count, 1)
 
     def _answer_ratio(self) -> float:
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -80,7 +80,6 @@
     UNSTATED = "unstated"
     ALL_PARTS = "all parts in"
     COMPLETE_COVERAGE = "whole share in"
-    PARTIAL_AT_OBJECTIVE = "short at the aim"
     PARTIAL_NO_MORE_PARTS = "short, no further part can come"
     PARTIAL_AT_DEADLINE = "short at the deadline"
     DEADLINE = "deadline"
--- a/tests/recordings/record_driver.py
+++ b/tests/recordings/record_driver.py
@@ -334,6 +334,11 @@
         [],
         [api.Send(3, 0, 1002.0), api.Cancel(3, 0), api.Fail(2)],
     ]
+    at_deadline: list[list[api.Action]] = [
+        [],
+        [api.Send(1, 0, 1002.0), api.Send(2, 1, 1002.0)],
+        [api.Answer(1, False, api.QueryEndReason.PARTIAL_AT_DEADLINE)],
+    ]
     second = classes(query_class(aim=0.5, deadline=2.0, least=0.5, second=1))
     false_second: list[list[api.Action]] = [
         [],
@@ -345,6 +350,7 @@
     return {
         "scripted-false-second": _scripted(second, false_second, 1),
         "scripted-unstated": _scripted(half, unstated),
+        "scripted-at-deadline": _scripted(half, at_deadline),
         "scripted": _scripted(SETTINGS, everything),
         "scripted-false-whole": _scripted(half, false_complete),
         "scripted-unknown-replica": _scripted(SETTINGS, unknown),
