A drawn check that aims, prices and marks of repeats change no decision

Need: what callers are not told (the class's aim and its stretch, what late and partial answers are worth, the mark of a repeat, a stated cost) must decide nothing, and must not come to again. Change: each recorded run is played again with another aim, other prices, or every mark the other way round, and must give the same actions. The collecting variant of a class and the classes of writes set prices of their own to have all parts waited for; that is how every class is treated now, so they do not.

--- a/gingervane/settings/decision_settings.py
+++ b/gingervane/settings/decision_settings.py
@@ -69,12 +69,12 @@
 def _variants(c: Class) -> tuple[api.QueryClass, api.QueryClass, api.QueryClass]:
     """Return three variants of a class: strict, lenient (partial answers allowed) and collecting (for a parent).
 
-    The collecting variant waits for all parts until its deadline and then answers with those received, as the parent
-    co-ordinator works out the coverage of the whole query.
+    The collecting variant answers with whatever parts came by its deadline, as the parent co-ordinator works out the
+    coverage of the whole query.
     """
     strict = _query_class(c, 1.0)
     lenient = _query_class(c, c.least_share)._replace(complete_coverage=c.whole_share)
-    collecting = _query_class(c, _COLLECTING_COVERAGE)._replace(late_answer_value=1.0)
+    collecting = _query_class(c, _COLLECTING_COVERAGE)
     return strict, lenient, collecting
 
 
--- a/gingervane/writes/write_replication.py
+++ b/gingervane/writes/write_replication.py
@@ -254,8 +254,6 @@
         query_class._replace(
             required_coverage=quorum_share,
             complete_coverage=quorum_share,
-            late_answer_value=1.0,
-            partial_answer_value=1.0,
         )
         if number in chosen
         else query_class
--- a/tests/recordings/codec.py
+++ b/tests/recordings/codec.py
@@ -12,7 +12,7 @@
 import hashlib
 import json
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
 from math import isfinite
 from pathlib import Path
@@ -147,11 +147,15 @@
         return Recording(encode(self.settings), self.seed, self.batches, digest)
 
 
-def replay(recording: Recording) -> Recorder:
-    """Play a recording's events to a new co-ordinator."""
-    recorder = Recorder(decode(recording.settings), recording.seed)
+def replay(
+    recording: Recording,
+    settings: api.Settings | None = None,
+    change: Callable[[api.Event], api.Event] = lambda event: event,
+) -> Recorder:
+    """Play a recording's events to a new co-ordinator, if asked with other settings or changed events."""
+    recorder = Recorder(settings or decode(recording.settings), recording.seed)
     for batch in recording.batches:
-        recorder.handle(batch.now, [decode(event) for event in batch.events])
+        recorder.handle(batch.now, [change(decode(event)) for event in batch.events])
     return recorder
 
 
