A query is not kept for a retry that is not permitted

Callers saw: after a replica had turned a part away, their query waited for the retry, up to 97% of its deadline, and was then refused as the attempt cap, the budget or the class's safety did not permit it. Cause: the delay was set without asking whether an attempt may be made after it. Now the retry is scheduled only if it would be permitted at that time; otherwise the part is given up at once, as one whose retry is due at once always was.

The rest is open: windows and permissions that end during the delay.

--- a/gingervane/decisions/attempt_dispatch.py
+++ b/gingervane/decisions/attempt_dispatch.py
@@ -54,7 +54,7 @@
 
     def send(self, part: Part, replica: KnownReplica, hedged: bool = False) -> bool:
         """Send a part to a replica if all rules permit it. Return whether it was sent."""
-        if not self._may_send(part, replica, hedged):
+        if not self.may_send(part, replica, hedged):
             return False
         now = self._context.now
         if part.attempts_made:
@@ -86,7 +86,7 @@
         part.tried_replicas.append(replica)
         return attempt
 
-    def _may_send(self, part: Part, replica: KnownReplica, hedged: bool) -> bool:
+    def may_send(self, part: Part, replica: KnownReplica, hedged: bool = False) -> bool:
         """Whether deadline, attempt cap, replica, hedging, retry safety and retry budget permit an attempt."""
         query = part.query
         if query.settled or part.done or self._context.now >= query.answer_by:
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -229,16 +229,26 @@
             self._schedule_retry(part, event.outcome)
 
     def _schedule_retry(self, part: Part, outcome: api.AttemptOutcome) -> None:
-        """Retry a failed part at once or after a delay, or give it up if that would be too late for its caller."""
+        """Retry a failed part at once or after a delay.
+
+        It is given up at once if no retry is permitted, or if one after the delay would be too late for its caller.
+        """
         delay = self._retry_delay(part, outcome)
         if not delay:
             self._retry(part)
-        elif self._timing.can_be_answered(part, delay):
+        elif self._timing.can_be_answered(part, delay) and self._retry_target(part) is not None:
             self.context.set_timer(delay, partial(self._retry, part))
         elif not part.done:
             part.lost = not part.attempts
             self.completion.update(part.query)
 
+    def _retry_target(self, part: Part) -> KnownReplica | None:
+        """The replica to which a failed part may be sent again now; None if there is none."""
+        if part.query.is_unanswerable():
+            return None
+        replica = self._selector.substitute(part)
+        return replica if replica is not None and self._dispatcher.may_send(part, replica) else None
+
     def _retry_delay(self, part: Part, outcome: api.AttemptOutcome) -> float:
         """Seconds before the next attempt at a failed part.
 
@@ -327,7 +337,7 @@
         """
         if part.done or (part.attempts and not part.has_failed):
             return
-        replica = None if part.query.is_unanswerable() else self._selector.substitute(part)
+        replica = self._retry_target(part)
         sent = replica is not None and self._dispatcher.send(part, replica)
         part.lost = not sent and not part.attempts
         self.completion.update(part.query)
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -96,8 +96,8 @@
 class QueryClass(NamedTuple):
     """The site's requirements for a query class. Coverage is a share of the weight of a step's parts.
 
-    The latency objective, its stretch and the values of late and partial answers are for operators and reports: no
-    decision reads them, as callers are held to their deadline alone.
+    The latency objective, its stretch and the values of late and partial answers are for operators and
+    reports: no decision reads them, as callers are held to their deadline alone.
     """
 
     latency_objective: float
--- a/tests/test_decisions_completion.py
+++ b/tests/test_decisions_completion.py
@@ -164,3 +164,12 @@
     host.feed(*host.make_parts(query, 0, (0,)))
     host.finish(part_of(host, query))
     assert host.ended[query] == api.Answer(query, False)
+
+
+def test_a_query_is_not_kept_for_a_retry_that_its_budget_forbids() -> None:
+    """After a full queue it waited for its retry, and was rejected when that was due and not permitted."""
+    budget = {"retry_budget_free": 0.0, "retry_budget_share": 0.0, "retry_budget_window": 10.0}
+    host = Host(BASE._replace(**budget), replicas=3)  # type: ignore[arg-type]
+    query = host.query(0)
+    host.finish(part_of(host, query), AttemptOutcome.REJECTED)
+    assert isinstance(host.ended.get(query), api.Reject)
