A failed part goes behind a queue that leaves it time, not only behind one that leaves time for all attempts

Callers saw: under load, with one of twelve replicas hung, some were refused only at the end of their time (p99 of the time to a refusal 0.998 of it): a part that had failed was sent nowhere. Cause: a holder counts as blocked by a request that has waited for longer than an attempt's share of the time left, and the share was kept for attempts that were already made, so that in a queue of seconds every holder was blocked. Now the time left is divided by the attempts that are left; the last has all of it.

--- a/gingervane/decisions/attempt_timing.py
+++ b/gingervane/decisions/attempt_timing.py
@@ -33,9 +33,14 @@
         measured = self._latency.percentile(part.query.arrival.query_class, 0.5)
         return _initial_delay(part, self._settings.max_attempts) if measured is None else measured
 
-    def share_of_attempt(self, part: Part, since: float) -> float:
-        """Seconds of its caller's time from `since` on for each holder that may be asked, one after another."""
-        return (part.query.answer_by - since) / self._holders_to_ask(part)
+    def share_of_attempt(self, part: Part) -> float:
+        """Seconds of its caller's time for each holder that may be asked, one after another."""
+        return (part.query.answer_by - part.first_sent_at) / self._holders_to_ask(part)
+
+    def share_of_next_attempt(self, part: Part) -> float:
+        """Seconds of the time that its caller has left for each further attempt; all of it for the last one."""
+        attempts_left = max(self._holders_to_ask(part) - part.attempts_made, 1)
+        return (part.query.answer_by - self._context.now) / attempts_left
 
     def second_step_time(self, query: Query) -> float:
         """Seconds of its caller's time that a query needs for its second step, with one hedge; half at the most."""
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -312,7 +312,7 @@
             # latencies would hide an overload and prolong it. The slowest served parts were those of a long queue.
             latency = self.latency.slowest(query_class)
             # For its caller the part has used up one of the attempts that its time allows.
-            relative_latency = self._timing.share_of_attempt(attempt.part, attempt.part.first_sent_at)
+            relative_latency = self._timing.share_of_attempt(attempt.part)
         now = self.context.now
         self.latency.record_relative_latency(replica, query_class, relative_latency, now)
         self.latency.record_outcome(latency, attempt.requests_ahead, now)
--- a/gingervane/decisions/idle_connections.py
+++ b/gingervane/decisions/idle_connections.py
@@ -39,8 +39,7 @@
         """
         if attempt.idle_before > self._safe_idle_time():
             # A connection that was idle for less than an attempt may take was in use.
-            part = attempt.part
-            in_use = self._timing.share_of_attempt(part, part.first_sent_at)
+            in_use = self._timing.share_of_attempt(attempt.part)
             self._idle_limit = min(self._idle_limit, max(attempt.idle_before, in_use))
             self._idle_limit_at = self._context.now
 
--- a/gingervane/decisions/replica_selection.py
+++ b/gingervane/decisions/replica_selection.py
@@ -90,8 +90,8 @@
         The part would wait behind it for at least as long, and would leave its caller less time than the other
         attempts need.
         """
-        now = self._context.now
-        return oldest_request_age(replica, now) > self._timing.share_of_attempt(part, now)
+        age = oldest_request_age(replica, self._context.now)
+        return age > self._timing.share_of_next_attempt(part)
 
     def substitute(self, part: Part) -> KnownReplica | None:
         """Another holder of the part, at which it is not open; None if there is none.
--- a/tests/test_decisions_failed_parts.py
+++ b/tests/test_decisions_failed_parts.py
@@ -23,6 +23,7 @@
 from hosts import BASE, Host, query_class, replica
 
 from gingervane import interface as api
+from gingervane.decisions.replica_state import RequestKey
 from gingervane.interface import AttemptOutcome, RetrySafety
 
 OBJECTIVE, DEADLINE = 1.0, 4.0  # seconds
@@ -259,3 +260,18 @@
     assert 4 <= len(times) <= 2 * SETTINGS.max_attempts
     assert all(later > first for first, later in pairwise(times[2:])), "not at once"
     assert times[-1] - times[2] >= 2 * SERVICE_TIME
+
+
+def test_a_failed_part_goes_behind_a_queue_that_leaves_it_time_to_be_answered() -> None:
+    """A third of the time left was kept for each attempt, also for those made, and nobody was asked."""
+    host = Host(BASE._replace(query_classes=SETTINGS.query_classes), replicas=3)
+    host.warm_up()
+    first, *others = sorted(host.listed_replicas)
+    replicas = host.engine.membership.replicas
+    for number in others:
+        replicas[number].requests[RequestKey(host.now - 1.0, 0, 0)] = 1
+    part = part_of(host, host.query(0, time=2.6))
+    assert host.where(part) == first
+    replicas[first].ejected_for, replicas[first].ejected_until = 8.0, host.now + 8.0
+    host.wait(0.15)
+    assert len(host.sends[part]) == 2
