--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -73,6 +73,9 @@
         self._admission = AdmissionControl(
             settings, self.context, self.membership, self.latency, self._dispatcher
         )
+        self.completion = QueryCompletion(
+            settings, self.context, admission=self._admission, dispatcher=self._dispatcher
+        )
         self.hedging = Hedging(
             self.context,
             admission=self._admission,
@@ -82,10 +85,7 @@
             outlier_detector=self._outlier_detector,
             selector=self._selector,
             timing=self._timing,
-            update_query=lambda query: self.completion.update(query),
-        )
-        self.completion = QueryCompletion(
-            settings, self.context, admission=self._admission, dispatcher=self._dispatcher
+            update_query=self.completion.update,
         )
         self._changed_queries = dict[int, Query]()  # by id: queries with parts that arrived in this batch
         self._handlers = self._event_handlers()
@@ -146,7 +146,6 @@
         self._admission.record_query(event.tenant)
         self.latency.update_baseline(event.query_class)
         self.context.set_timer(answer_by - now, partial(self._on_deadline, query))
-
         if query_class.second_step_parts and query_class.required_coverage < query_class.complete_coverage:
             delay = answer_by - self._timing.second_step_time(query) - now
             query.first_step_ends_at = now + delay
@@ -236,18 +235,20 @@
         delay = self._retry_delay(part, outcome)
         if not delay:
             self._retry(part)
-        elif self._timing.can_be_answered(part, delay) and self._retry_target(part) is not None:
+        elif self._timing.can_be_answered(part, delay) and self._may_retry(part):
             self.context.set_timer(delay, partial(self._retry, part))
         elif not part.done:
             part.lost = not part.attempts
             self.completion.update(part.query)
 
+    def _may_retry(self, part: Part) -> bool:
+        """Whether a failed part could be sent again now."""
+        replica = self._retry_target(part)
+        return replica is not None and self._dispatcher.may_send(part, replica)
+
     def _retry_target(self, part: Part) -> KnownReplica | None:
-        """The replica to which a failed part may be sent again now; None if there is none."""
-        if part.query.is_unanswerable():
-            return None
-        replica = self._selector.substitute(part)
-        return replica if replica is not None and self._dispatcher.may_send(part, replica) else None
+        """The replica for another attempt at a failed part; None if there is none, or no answer is possible."""
+        return None if part.query.is_unanswerable() else self._selector.substitute(part)
 
     def _retry_delay(self, part: Part, outcome: api.AttemptOutcome) -> float:
         """Seconds before the next attempt at a failed part.
--- a/gingervane/vectors/front.py
+++ b/gingervane/vectors/front.py
@@ -25,7 +25,7 @@
     VectorFrontSettings,
     VectorRequest,
     read_parameters,
-    url_parameters,
+    read_url_parameters,
 )
 from gingervane.vectors.requests import decode
 from gingervane.vectors.search_handler import SearchHandler
@@ -109,9 +109,11 @@
                 return collection_not_found(path_parameters["name"])
             try:
                 # Known before the wait for a slot, which ends with the caller's time.
-                parameters = self._read_parameters(operation, request, arrived)
+                values = read_url_parameters(request)
+                default_class = operation.default_class(values)
+                parameters = read_parameters(values, arrived, self._classes, default_class)
                 with self._gate.slot(NAME, parameters.deadline):
-                    vector_request = VectorRequest(collection, decode(body), request, arrived)
+                    vector_request = VectorRequest(collection, decode(body), request, values, arrived)
                     execute = operation.read(vector_request, parameters)
                 return execute(client)
             except SlotRefused as error:
@@ -123,13 +125,6 @@
 
         return handle
 
-    def _read_parameters(
-        self, operation: _Operation, request: Request, arrived: float
-    ) -> ExecutionParameters:
-        """Read the parameters of the URL. Raises HttpError."""
-        values = url_parameters(request)
-        return read_parameters(values, arrived, self._classes, operation.default_class(values))
-
     def _describe(
         self,
         _request: Request,
--- a/gingervane/vectors/request_context.py
+++ b/gingervane/vectors/request_context.py
@@ -34,10 +34,11 @@
     collection: Collection
     body: dict[str, Any]
     http: Request
+    url_parameters: Mapping[str, str]
     arrived: float  # on the monotonic clock
 
 
-def url_parameters(request: Request) -> dict[str, str]:
+def read_url_parameters(request: Request) -> dict[str, str]:
     """Return the query parameters of the URL. Of a repeated parameter, the last value counts."""
     return dict(parse_qsl(request.target.partition("?")[2], keep_blank_values=True))
 
--- a/gingervane/vectors/search_handler.py
+++ b/gingervane/vectors/search_handler.py
@@ -41,7 +41,6 @@
     searches: list[SearchRequest]
     collection: Collection
     parameters: ExecutionParameters
-    shard_count: int
     arrived: float
     batch: bool  # return a list of results instead of one result
     in_object: bool  # return the points of a search as a field of an object instead of a list
@@ -88,15 +87,7 @@
             searches = read_searches(request.body, collection, limits)
         else:
             searches = [read_search(request.body, collection, limits)]
-        execution = _SearchExecution(
-            searches,
-            collection,
-            parameters,
-            self._settings.shard_count,
-            request.arrived,
-            batch,
-            in_object,
-        )
+        execution = _SearchExecution(searches, collection, parameters, request.arrived, batch, in_object)
         query = self._query(execution)
 
         def execute(client: Exchange) -> Reply:
@@ -104,7 +95,7 @@
                 dispatched = self._dispatcher.dispatch(query, client)
             except Rejected as error:
                 return rejection_reply(str(error), error.retry_after)
-            if not _has_answer(execution, dispatched.result):
+            if not self._has_answer(execution, dispatched.result):
                 return unsuccessful_search_reply(dispatched.result)._replace(done=dispatched.release)
             try:
                 with self._gate.slot(NAME, parameters.deadline, admit_always=True):
@@ -129,11 +120,22 @@
             parameters.deadline,
         )
 
+    def _has_answer(self, execution: _SearchExecution, result: t.QueryResult) -> bool:
+        """Whether the result is an answer that the client accepts."""
+        if result.status not in (t.QueryStatus.COMPLETE, t.QueryStatus.PARTIAL):
+            return False
+        return self._is_complete(result) or execution.parameters.partial_allowed
+
+    def _is_complete(self, result: t.QueryResult) -> bool:
+        """Whether the result has the hits of every shard."""
+        shards = self._settings.shard_count
+        return result.status is t.QueryStatus.COMPLETE and len(result.results) == shards
+
     def _answer(self, execution: _SearchExecution, dispatched: DispatchResult) -> Reply:
         """Return the reply with a complete or partial answer."""
         result = dispatched.result
         shards = self._settings.shard_count
-        complete = _is_complete(execution, result)
+        complete = self._is_complete(result)
         hits: dict[int, ShardHits] = result.results
         merged = [
             merge_hits(
@@ -161,15 +163,3 @@
         with self._lock:
             self.stale_shard_count += len(stale)
         return stale
-
-
-def _is_complete(execution: _SearchExecution, result: t.QueryResult) -> bool:
-    """Whether the result has the hits of every shard."""
-    return result.status is t.QueryStatus.COMPLETE and len(result.results) == execution.shard_count
-
-
-def _has_answer(execution: _SearchExecution, result: t.QueryResult) -> bool:
-    """Whether the result is an answer that the client accepts."""
-    if result.status not in (t.QueryStatus.COMPLETE, t.QueryStatus.PARTIAL):
-        return False
-    return _is_complete(execution, result) or execution.parameters.partial_allowed
--- a/gingervane/vectors/write_handler.py
+++ b/gingervane/vectors/write_handler.py
@@ -23,7 +23,6 @@
     ExecutionParameters,
     VectorFrontSettings,
     VectorRequest,
-    url_parameters,
 )
 from gingervane.vectors.requests import PointWrite, read_delete, read_payload, read_upsert
 from gingervane.writes.idempotency import KeyAction, WriteState
@@ -70,7 +69,7 @@
         Replicas do not drop repeats of increments, so an increment is retried only on proof that it was not
         executed.
         """
-        increment = _is_increment(url_parameters(request.http))
+        increment = _is_increment(request.url_parameters)
         write = read_payload(
             request.body, self._settings.request_limits, self._settings.shard_count, increment
         )
@@ -99,9 +98,9 @@
         )
 
 
-def _is_increment(values: Mapping[str, str]) -> bool:
+def _is_increment(url_parameters: Mapping[str, str]) -> bool:
     """Whether a change of payload adds to numbers; raises HttpError."""
-    return flag(values.get("increment", "0"), "parameter increment")
+    return flag(url_parameters.get("increment", "0"), "parameter increment")
 
 
 def _digest(write: PointWrite) -> str:
