Overload benchmark: the settings of the other benchmarks, and a dataclass for an attempt

Need: benchmarks/overload.py wrote the settings of an engine again that benchmarks/common.py has, read the class's fields by name to fit two texts, and had a class that only assigned its arguments. Change: engine_settings with what differs, a dataclass, no aim, as nothing read it.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -20,14 +20,17 @@
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
 from typing import NamedTuple
 
+from common import engine_settings
+
 from gingervane import interface as api
 from gingervane.decisions.engine import DecisionEngine
 
 COORDINATORS, REPLICAS, CORES, SHARDS, PARTS = 3, 12, 2, 12, 4
 PART_SECONDS, NETWORK_SECONDS = 0.12, 0.001
-AIM, DEADLINE = 1.5, 4.0  # seconds
+DEADLINE = 4.0  # seconds
 START, WARM_UP, MEASURED = 100.0, 20.0, 60.0  # seconds
 CAPACITY = REPLICAS * CORES / (PART_SECONDS * PARTS)  # queries per second
 QUEUE_LIMIT = 1000  # parts that wait at a replica
@@ -53,15 +56,17 @@
     parts: int
 
 
+@dataclass(eq=False)
 class Item:
     """One attempt at a replica."""
 
-    def __init__(
-        self, coordinator: int, part: int, attempt: int, replica: int, sent_at: float, expires_at: float
-    ) -> None:
-        self.coordinator, self.part, self.attempt, self.replica = coordinator, part, attempt, replica
-        self.sent_at, self.expires_at = sent_at, expires_at
-        self.cancelled = False
+    coordinator: int
+    part: int
+    attempt: int
+    replica: int
+    sent_at: float
+    expires_at: float
+    cancelled: bool = False
 
 
 class Query(NamedTuple):
@@ -74,35 +79,9 @@
 
 def settings() -> api.Settings:
     """Settings of the co-ordinators, with a class that is safe to repeat and needs all parts."""
-    values = {"latency_objective": AIM, "deadline": DEADLINE, "retry_safety": api.RetrySafety.IDEMPOTENT}
-    values |= {"idempotency_window": None, "second_step_parts": 0, "objective_stretch": None}
-    values |= {"required_coverage": 1.0, "complete_coverage": 1.0}
-    values |= {"late_answer_value": 0.3, "partial_answer_value": 1.0}
-    fields = api.QueryClass._fields
-    return api.Settings(
-        coordinator_count=COORDINATORS,
-        zone=0,
-        query_classes=(api.QueryClass(**{field: values[field] for field in fields}),),  # type: ignore[arg-type]
-        tenant_quotas=(),
-        timer_granularity=0.005,
-        cell_count=SHARDS,
-        cells_per_replica=3,
-        max_parts_per_request=1,
-        max_attempts=3,
-        cancellation_allowed=True,
-        gossip_allowed=False,
-        hedging_allowed=True,
-        retry_after_allowed=True,
-        max_retry_after=1.0,
-        membership_polled=False,
-        slow_start_capacity=0.2,
-        slow_start_duration=16.0,
-        overload_window=2.0,
-        overload_multiple=4.0,
-        retry_budget_free=None,
-        retry_budget_share=None,
-        retry_budget_window=None,
-    )
+    base = engine_settings(SHARDS)
+    kind = base.query_classes[0]._replace(deadline=DEADLINE)
+    return base._replace(query_classes=(kind,), coordinator_count=COORDINATORS, max_parts_per_request=1)
 
 
 class Run:
