--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -69,6 +69,7 @@
         self.processes: list[subprocess.Popen[str]] = []
         self.node_processes: list[subprocess.Popen[str]] = []
         self.ports: list[int] = []
+        self.ids: list[int] = []
         self.states: dict[int, str] = {}
         self.address = ("127.0.0.1", 0)
         self.daemon: subprocess.Popen[str] | None = None
@@ -76,34 +77,49 @@
     # ---- processes
 
     def start_nodes(self, window: float, ramp_time: float = 4.0) -> None:
-        for number in range(self.nodes):
-            config = {
-                "nodes": self.nodes,
-                "width": 3,
-                "collections": [COLLECTION],
-                "window": window,
-                "model": [2, 0.002, 0.001, 200, 0.2, ramp_time, 4.0, 1.5],
-                "faults": {},
-                "records": str(self.folder / f"node-{number}.jsonl"),
-                "only": [number],
-            }
-            path = self.folder / f"node-{number}.json"
-            path.write_text(json.dumps(config))
-            process = subprocess.Popen(
-                [PYTHON, "-m", "gingervane.fake_servers.vectors", path],
-                stdin=subprocess.PIPE,
-                stdout=subprocess.PIPE,
-                stderr=(self.folder / f"node-{number}.err").open("w"),
-                text=True,
-                cwd=ROOT,
-            )
-            self.node_processes.append(process)
-        for number, process in enumerate(self.node_processes):
-            assert process.stdout
-            line = process.stdout.readline()
-            if not line.startswith("ready "):
-                raise NotRunError(f"vector node {number} did not start")
-            self.ports += json.loads(line[len("ready ") :])
+        """Start a node for each place on the ring; the id of each is its place."""
+        started = [self._start_node(place, f"node-{place}", window, ramp_time) for place in range(self.nodes)]
+        for place, process in enumerate(started):
+            self.ports.append(self._port_of(process, place))
+            self.ids.append(place)
+
+    def replace_node(self, place: int, new_id: int, window: float, ramp_time: float = 4.0) -> None:
+        """Start an empty node for a place on the ring, under a new id; the old one is left as it is."""
+        process = self._start_node(place, f"node-{place}-{new_id}", window, ramp_time)
+        self.ports[place] = self._port_of(process, place)
+        self.ids[place] = new_id
+        self.record.put(f"vector node for place {place} started, empty, id {new_id}")
+
+    def _start_node(self, place: int, name: str, window: float, ramp_time: float) -> subprocess.Popen[str]:
+        config = {
+            "nodes": self.nodes,
+            "width": 3,
+            "collections": [COLLECTION],
+            "window": window,
+            "model": [2, 0.002, 0.001, 200, 0.2, ramp_time, 4.0, 1.5],
+            "faults": {},
+            "records": str(self.folder / f"{name}.jsonl"),
+            "only": [place],
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(config))
+        process = subprocess.Popen(
+            [PYTHON, "-m", "gingervane.fake_servers.vectors", path],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=(self.folder / f"{name}.err").open("w"),
+            text=True,
+            cwd=ROOT,
+        )
+        self.node_processes.append(process)
+        return process
+
+    def _port_of(self, process: subprocess.Popen[str], place: int) -> int:
+        assert process.stdout
+        line = process.stdout.readline()
+        if not line.startswith("ready "):
+            raise NotRunError(f"the vector node for place {place} did not start")
+        return json.loads(line[len("ready ") :])[0]
 
     def start_daemon(self, vectors: str, classes: str, extra: str = "") -> None:
         """Start `gingervane serve`; `vectors` has further lines of the table [vectors], `classes` all classes."""
@@ -213,7 +229,8 @@
         """Write the list of vector nodes; `states` has the nodes that are not ready."""
         self.states = states or {}
         rows = [
-            f'[[node]]\nid = {number}\nname = "v{number}"\naddress = "127.0.0.1:{port}"\n'
+            f'[[node]]\nid = {self.ids[number]}\nname = "v{self.ids[number]}"\n'
+            f'address = "127.0.0.1:{port}"\n'
             f'zone = "{ZONES[number % 3]}"\ncell = {number}\nstate = "{self.states.get(number, "ready")}"\n'
             for number, port in enumerate(self.ports)
         ]
@@ -233,9 +250,8 @@
     def effects(self, kind: str = "effect") -> list[dict]:
         """What the vector nodes have run, in order of time; call it after `stop_nodes`."""
         found = []
-        for number in range(self.nodes):
-            text = (self.folder / f"node-{number}.jsonl").read_text()
-            found += [json.loads(line) for line in text.splitlines()]
+        for path in sorted(self.folder.glob("node-*.jsonl")):
+            found += [json.loads(line) for line in path.read_text().splitlines()]
         return sorted((item for item in found if item["kind"] == kind), key=lambda item: item["t"])
 
     # ---- the client
@@ -296,8 +312,9 @@
             "with_payload": True,
             "filter": {"must": [{"has_id": [point]}]},
         }
-        status, _, text = self.request("POST", f"/collections/{COLLECTION[0]}/points/search", content)
-        self.record.put(f"client: search for point {point} answered {status} {text[:200]}")
+        status, fields, text = self.request("POST", f"/collections/{COLLECTION[0]}/points/search", content)
+        extra = {name: fields[name] for name in fields if name.startswith("gingervane")}
+        self.record.put(f"client: search for point {point} answered {status} {extra} {text[:200]}")
         if status != 200:
             return None
         hits = json.loads(text)["result"]
