A slow discovery is told from one that is down before an old list is used

What callers saw: where lists are pushed, a node that started while discovery took 5 s for a call was ready after 3 s on the list of its configuration.

Change: the host reports whether discovery has accepted a call that waits for its first list. While one waits, the node is not ready, up to 25 s of the 30 s that the platform gives; after 5 s in all without an accepted call discovery is taken to be down and the old list is used, with a warning. Queries before that are refused at once, harmlessly. Calls for the first list are made less often, as nothing is sent until it comes.

Why it works: what discovery has counts as told only while it can be reached, and an accepted call is what shows that it can.

--- a/gingervane/coordinator/core.py
+++ b/gingervane/coordinator/core.py
@@ -108,6 +108,10 @@
         """Report a new address of discovery, `seconds_without_data` after the last line of a watch."""
         self._inbox.put([t.DiscoveryAddressChanged(seconds_without_data)])
 
+    def discovery_contact_changed(self, is_waiting: bool) -> None:
+        """Report whether a call to discovery has been accepted and waits for its first list."""
+        self._inbox.put([t.DiscoveryContactChanged(is_waiting)])
+
     def peer_message_received(self, sender: int, payload: bytes) -> None:
         """Report a message from another co-ordinator. Messages may be lost: a full inbox drops them."""
         if self._inbox.qsize() < MAX_INPUTS:
@@ -203,8 +207,8 @@
                 self.observer.replica_health_changed(change)
             case t.WatchMembership():
                 self._ports.watch_membership()
-            case t.AcceptQueries():
-                self._ports.report_ready()
+            case t.AcceptQueries(cached_list_age):
+                self._ports.report_ready(cached_list_age)
             case t.SendToPeers(payload):
                 self._ports.send_to_peers(payload)
 
--- a/gingervane/coordinator/driver.py
+++ b/gingervane/coordinator/driver.py
@@ -134,6 +134,8 @@
                     events.append(api.WatchInterrupted(seconds_without_data))
                 case t.DiscoveryAddressChanged(seconds_without_data):
                     events.append(api.DiscoveryAddressChanged(seconds_without_data))
+                case t.DiscoveryContactChanged(is_waiting):
+                    events.append(api.DiscoveryContactChanged(is_waiting))
         return events
 
     def _withdraw_replicas(self, membership: api.MembershipChanged, turn: _Turn) -> list[api.Event]:
@@ -252,8 +254,8 @@
                 return [t.ReplicaHealthChanged(action)]
             case api.WatchMembership():
                 return [t.WatchMembership()]
-            case api.AcceptQueries():
-                return [t.AcceptQueries()]
+            case api.AcceptQueries(cached_list_age):
+                return [t.AcceptQueries(cached_list_age)]
             case api.SendToPeers(payload):
                 return [t.SendToPeers(payload)]
         return []
--- a/gingervane/coordinator/ports.py
+++ b/gingervane/coordinator/ports.py
@@ -69,7 +69,7 @@
     """Do nothing: membership is not watched."""
 
 
-def _ignore_readiness() -> None:
+def _ignore_readiness(cached_list_age: float | None) -> None:
     """Do nothing: readiness is not reported."""
 
 
@@ -82,4 +82,4 @@
 
     watch_membership: Callable[[], None] = _ignore_watch
     send_to_peers: Callable[[bytes], None] = _ignore_message
-    report_ready: Callable[[], None] = _ignore_readiness
+    report_ready: Callable[[float | None], None] = _ignore_readiness
--- a/gingervane/coordinator/types.py
+++ b/gingervane/coordinator/types.py
@@ -186,6 +186,12 @@
     seconds_without_data: float
 
 
+class DiscoveryContactChanged(NamedTuple):
+    """Whether a call to discovery has been accepted and waits for its first list."""
+
+    is_waiting: bool
+
+
 class Shutdown(NamedTuple):
     """Complete all open queries: reject those that a client may safely retry, fail the others."""
 
@@ -204,6 +210,7 @@
     | EndpointsUpdated
     | WatchInterrupted
     | DiscoveryAddressChanged
+    | DiscoveryContactChanged
     | Shutdown
     | PeerMessageReceived
 )
@@ -339,7 +346,9 @@
 
 
 class AcceptQueries(NamedTuple):
-    """Tell the platform that this co-ordinator is ready."""
+    """Tell the platform that this co-ordinator is ready; `cached_list_age` as in the engine's action."""
+
+    cached_list_age: float | None
 
 
 class SendToPeers(NamedTuple):
--- a/gingervane/decisions/call_timing.py
+++ b/gingervane/decisions/call_timing.py
@@ -2,7 +2,8 @@
 
 Both depend on the time that remains until a change that is still unknown may count as notified: calls become more
 frequent as it runs out, and co-ordinators with a fresh list leave capacity in discovery's queue to those with a stale
-one.
+one. A co-ordinator that does not serve yet, as it waits for its first list, breaks nothing by waiting longer: its
+calls become less frequent, since discovery may be slow because a whole fleet is starting.
 """
 
 from __future__ import annotations
@@ -40,6 +41,8 @@
 MAX_REMAINING_TIME = 6.0
 # A call without an answer gets a further call beside it after the remaining time divided by this.
 CALL_TIMEOUTS_IN_REMAINING_TIME = 3
+# Growth factor of that time with each call while this co-ordinator does not serve; the longest is `MAX_BACKOFF`.
+CALL_TIMEOUT_GROWTH = 1.5
 # Shortest time in seconds before that further call, as a place in discovery's queue is worth waiting for.
 MIN_CALL_TIMEOUT = 1.25
 # Where lists are pushed, the backoff is at most the drain grace divided by this, as all changes count as notified as
@@ -63,20 +66,22 @@
         )
         self._fleet_backoff = LARGE_FLEET_BACKOFF_PER_COORDINATOR * coordinators
         self._overloaded_backoff = min(OVERLOADED_BACKOFF_PER_COORDINATOR * coordinators, MAX_BACKOFF)
-        self._backoff = INITIAL_BACKOFF
+        self.reset_backoff()
 
     def reset_backoff(self) -> None:
-        """Start again with the first backoff."""
+        """Start again with the first backoff and the first timeout."""
         self._backoff = INITIAL_BACKOFF
+        self._first_list_timeout = MIN_CALL_TIMEOUT
 
-    def next_backoff(self, remaining: float) -> float:
+    def next_backoff(self, remaining: float, is_serving: bool) -> float:
         """Return the backoff after a failure, without jitter, and lengthen the one after it.
 
-        `remaining`: seconds until a change that is still unknown may count as notified.
+        `remaining`: seconds until a change that is still unknown may count as notified. `is_serving`: whether this
+        co-ordinator serves queries on the list that it has.
         """
-        backoff = min(self._backoff, self._max_backoff(remaining))
+        backoff = min(self._backoff, self._max_backoff(remaining)) if is_serving else self._backoff
         self._backoff = min(BACKOFF_GROWTH * self._backoff, MAX_BACKOFF)
-        if self._polled:
+        if self._polled or not is_serving:
             self._backoff = max(self._backoff, self._overloaded_backoff)
         return backoff
 
@@ -86,8 +91,12 @@
         large_fleet_backoff = min(remaining / LARGE_FLEET_BACKOFFS_IN_REMAINING_TIME, self._fleet_backoff)
         return max(remaining / BACKOFFS_IN_REMAINING_TIME, large_fleet_backoff, self._urgent_backoff)
 
-    def call_timeout(self, remaining: float) -> float:
-        """Return the time after which an unanswered call gets a further call; `remaining` as in `next_backoff`."""
+    def call_timeout(self, remaining: float, is_serving: bool) -> float:
+        """Return the time after which an unanswered call gets a further call; arguments as in `next_backoff`."""
+        if not is_serving:
+            timeout = self._first_list_timeout
+            self._first_list_timeout = min(CALL_TIMEOUT_GROWTH * timeout, MAX_BACKOFF)
+            return timeout
         if not self._polled:
             return self._pushed_grace / PUSHED_CALL_TIMEOUTS_PER_GRACE
         return max(min(remaining, MAX_REMAINING_TIME) / CALL_TIMEOUTS_IN_REMAINING_TIME, MIN_CALL_TIMEOUT)
--- a/gingervane/decisions/drain_reports.py
+++ b/gingervane/decisions/drain_reports.py
@@ -15,7 +15,7 @@
 from gingervane import interface as api
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.membership import Membership
-from gingervane.decisions.membership_watch import WatchOptions
+from gingervane.decisions.watch_options import WatchOptions
 
 REPORT_DRAINING = b"D"  # last byte of a report, after the ids of the replicas
 ID_BYTES = 8
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -24,7 +24,6 @@
 from gingervane.decisions.idle_connections import IdleConnectionLimit
 from gingervane.decisions.latency import LatencyEstimator
 from gingervane.decisions.membership import Membership
-from gingervane.decisions.membership_watch import DEFAULT_WATCH_OPTIONS, WatchOptions
 from gingervane.decisions.outlier_ejection import FAILURE_WEIGHT, REJECTION_WEIGHT, OutlierDetector
 from gingervane.decisions.query_completion import TIMER_MARGIN, QueryCompletion
 from gingervane.decisions.query_state import Attempt, Part, Query
@@ -33,6 +32,7 @@
 from gingervane.decisions.retry_budget import RetryBudget
 from gingervane.decisions.sliding_window import TRAFFIC_WINDOW, SlidingWindowCount
 from gingervane.decisions.slow_start import SlowStart
+from gingervane.decisions.watch_options import DEFAULT_WATCH_OPTIONS, WatchOptions
 
 # Outcomes that prove that the replica responds.
 RESPONSE_OUTCOMES = (api.AttemptOutcome.OK, api.AttemptOutcome.ERROR, api.AttemptOutcome.REJECTED)
@@ -95,6 +95,7 @@
         return {
             api.AttemptEnded: self._on_attempt_ended,
             api.DiscoveryAddressChanged: self.membership.watch.on_address_change,
+            api.DiscoveryContactChanged: self.membership.readiness.on_contact_change,
             api.MembershipChanged: self._drain_reports.on_membership,
             api.PartArrived: self._on_part_arrived,
             api.PeerMessageReceived: self._on_peer_message,
@@ -185,7 +186,7 @@
             part.lost = not self._selector.has_usable_holder(part)
         parts = [part for part in query.parts if not part.lost]
         replicas = self._selector.assign(parts)
-        if not parts or query.is_unanswerable():
+        if not self.membership.readiness.is_serving or not parts or query.is_unanswerable():
             self._reject(query, api.QueryEndReason.NO_REPLICA)
         elif self._is_over_capacity(query, parts, replicas):
             self._reject(query, api.QueryEndReason.OVERLOAD)
--- a/gingervane/decisions/membership.py
+++ b/gingervane/decisions/membership.py
@@ -6,10 +6,11 @@
 
 from gingervane import interface as api
 from gingervane.decisions.batch_context import BatchContext
-from gingervane.decisions.membership_watch import MembershipWatch, WatchOptions
+from gingervane.decisions.membership_watch import MembershipWatch
 from gingervane.decisions.readiness import Readiness
 from gingervane.decisions.replica_leases import ReplicaLeases
 from gingervane.decisions.replica_state import KnownReplica
+from gingervane.decisions.watch_options import WatchOptions
 
 
 class Membership:
@@ -17,9 +18,9 @@
 
     def __init__(self, settings: api.Settings, context: BatchContext, watch_options: WatchOptions) -> None:
         self._settings = settings
-        self.watch = MembershipWatch(settings, context, watch_options)
-        self.leases = ReplicaLeases(settings, context, self.watch, watch_options)
         self.readiness = Readiness(settings, context, watch_options)
+        self.watch = MembershipWatch(settings, context, self.readiness, watch_options)
+        self.leases = ReplicaLeases(settings, context, self.watch, watch_options)
         self.replicas = dict[int, KnownReplica]()
         self.ready_count = 0
         self.unavailable = frozenset[int]()  # ids of the draining and removed replicas in the last event
@@ -42,7 +43,6 @@
         if event.kind is not api.MembershipUpdateKind.CACHED:
             self.watch.record_list()
             self.leases.record_list()
-            self.readiness.report()
         if event.kind is not api.MembershipUpdateKind.DELTA:
             for replica in self.replicas.values():
                 replica.endpoint = replica.endpoint._replace(state=api.ReplicaState.GONE)
--- a/gingervane/decisions/membership_watch.py
+++ b/gingervane/decisions/membership_watch.py
@@ -12,32 +12,12 @@
 from enum import Enum
 from functools import partial
 from math import inf
-from typing import NamedTuple
 
 from gingervane import interface as api
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.call_timing import MAX_JITTER, MIN_JITTER, CallTiming
-
-# Assumed age in seconds of the list with which a process starts, as its real age is unknown.
-CACHED_LIST_AGE = 3.0
-
-
-class WatchOptions(NamedTuple):
-    """Properties of the host's watch of the endpoint list.
-
-    `parallel_calls`: number of calls to discovery that can be waiting at once. `notified_within`: seconds after which
-    a change counts as notified, received or not, from when discovery had it and could be reached.
-    `pushed_on_request`: whether pushed lists, too, are received only after a request. `reports_readiness`: whether
-    the host waits for `AcceptQueries` before it is reported as ready.
-    """
-
-    parallel_calls: int = 1
-    notified_within: float = inf
-    pushed_on_request: bool = False
-    reports_readiness: bool = False
-
-
-DEFAULT_WATCH_OPTIONS = WatchOptions()
+from gingervane.decisions.readiness import CACHED_LIST_AGE, Readiness
+from gingervane.decisions.watch_options import WatchOptions
 
 
 class WatchPhase(Enum):
@@ -51,8 +31,16 @@
 class MembershipWatch:
     """The phase of the watch of the endpoint list, and the requests for it."""
 
-    def __init__(self, settings: api.Settings, context: BatchContext, watch_options: WatchOptions) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        context: BatchContext,
+        readiness: Readiness,
+        watch_options: WatchOptions,
+    ) -> None:
         self._context = context
+        self._readiness = readiness
+        readiness.on_cached_list = self._on_cached_list
         self._timing = CallTiming(settings)
         self._requested_at_start = settings.membership_polled or watch_options.pushed_on_request
         self._calls_may_overlap = watch_options.parallel_calls > 1
@@ -86,6 +74,7 @@
         """Record that a list, a change or a confirmation without changes was received."""
         self._timing.reset_backoff()
         self._phase = WatchPhase.UP
+        self._readiness.record_list()
 
     def on_interruption(self, event: api.WatchInterrupted) -> None:
         """Process the end of a watch, or that no data was received on it."""
@@ -94,6 +83,7 @@
     def on_address_change(self, event: api.DiscoveryAddressChanged) -> None:
         """Process a new address of discovery: the watch has ended, and no backoff applies to the new address."""
         self._record_loss(event.seconds_without_data)
+        self._readiness.on_address_change()
         self._timing.reset_backoff()
         self._request_call()
 
@@ -104,7 +94,7 @@
             return
         self._retry_pending = True
         jitter = self._context.random.uniform(MIN_JITTER, MAX_JITTER)
-        delay = self._timing.next_backoff(self._remaining_time()) * jitter
+        delay = self._timing.next_backoff(self._remaining_time(), self._readiness.is_serving) * jitter
         self._context.set_timer(delay, partial(self._retry_failed_call, self._calls_made))
 
     def _request_call(self) -> None:
@@ -113,7 +103,7 @@
         self._calls_made += 1
         self._context.actions.append(api.WatchMembership())
         if self._calls_may_overlap:
-            timeout = self._timing.call_timeout(self._remaining_time())
+            timeout = self._timing.call_timeout(self._remaining_time(), self._readiness.is_serving)
             self._context.set_timer(timeout, partial(self._hedge_unanswered_call, self._calls_made))
 
     def _record_loss(self, seconds_without_data: float) -> None:
@@ -122,6 +112,11 @@
             self._last_current_at = self._context.now - seconds_without_data
         self._phase = WatchPhase.DOWN
 
+    def _on_cached_list(self) -> None:
+        """Call at once where the cached list is used from now on, and more often than before."""
+        self._timing.reset_backoff()
+        self._request_call()
+
     def _retry_failed_call(self, call: int) -> None:
         """Make a further call, unless one was made since the failure."""
         if call == self._calls_made:
--- a/gingervane/decisions/replica_leases.py
+++ b/gingervane/decisions/replica_leases.py
@@ -9,8 +9,9 @@
 
 from gingervane import interface as api
 from gingervane.decisions.batch_context import BatchContext
-from gingervane.decisions.membership_watch import MembershipWatch, WatchOptions
+from gingervane.decisions.membership_watch import MembershipWatch
 from gingervane.decisions.replica_state import KnownReplica
+from gingervane.decisions.watch_options import WatchOptions
 
 # Seconds for which a replica is excluded, from the later of the end of its lease and its last rejection. It is then
 # tried again if there is no other holder: it may still serve, and discovery may be unavailable for long.
--- a/gingervane/interface.py
+++ b/gingervane/interface.py
@@ -178,6 +178,16 @@
     seconds_without_data: float
 
 
+class DiscoveryContactChanged(NamedTuple):
+    """Whether a call to discovery has been accepted and waits for its first list. False at the start.
+
+    Only for hosts that are reported as ready by `AcceptQueries`. A connection that is being established, or
+    was refused or reset, is no contact.
+    """
+
+    is_waiting: bool
+
+
 class QueryArrived(NamedTuple):
     """A query; `part_count` parts follow in the same batch."""
 
@@ -242,6 +252,7 @@
     MembershipChanged
     | WatchInterrupted
     | DiscoveryAddressChanged
+    | DiscoveryContactChanged
     | QueryArrived
     | PartArrived
     | AttemptEnded
@@ -316,7 +327,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptQueries:
-    """Tell the platform that this co-ordinator is ready. Only for hosts that ask for it."""
+    """Tell the platform that this co-ordinator is ready. Only for hosts that ask for it.
+
+    `cached_list_age`: assumed age in seconds of the cached list on which it serves; None if its list is
+    current or requested at intervals.
+    """
+
+    cached_list_age: float | None = field(default=None, compare=False)
 
 
 class SendToPeers(NamedTuple):
--- a/gingervane/node/discovery.py
+++ b/gingervane/node/discovery.py
@@ -58,6 +58,9 @@
     def discovery_address_changed(self, seconds_without_data: float) -> None:
         """Receive the report that all calls are interrupted, as discovery has another address."""
 
+    def discovery_contact_changed(self, is_waiting: bool) -> None:
+        """Receive the report whether an accepted call waits for its first list."""
+
 
 class DiscoveryWatch:
     """Watches discovery from `start` to `stop`."""
@@ -81,6 +84,7 @@
         self._version_reset_pending = False  # the address has changed, and no call has begun since
         self._stopped = False
         self._retry_pending = False  # a failure was reported; the decision engine will request a call
+        self._is_waiting = False  # as last reported: an accepted call waits for its first list
         self._state = WatchState.IDLE
         self._call_count = 0
         self._call_ends = Counter[str]()
@@ -243,6 +247,7 @@
 
     def _update_state(self, reason: str) -> None:
         """Update the state of the watch and log a change of it. Called with `_change` held."""
+        self._report_contact()
         if self._has_watch():
             new = WatchState.WATCHING
         elif any(not call.has_list for call in self._calls):
@@ -255,8 +260,21 @@
         address = f"{self._address[0]}:{self._address[1]}"
         self._log(LogEvent.WATCH_STATE_CHANGED, old=old, new=new, reason=reason, discovery=address)
 
+    def _report_contact(self) -> None:
+        """Report a change of whether an accepted call waits for its first list. Called with `_change` held."""
+        is_waiting = any(call.is_waiting for call in self._calls)
+        if is_waiting != self._is_waiting:
+            self._is_waiting = is_waiting
+            self._sink.discovery_contact_changed(is_waiting)
+
     # ---- events of calls, in the calls' threads
 
+    def call_accepted(self, call: DiscoveryCall) -> None:
+        """Record that discovery has accepted the connection of a call."""
+        with self._change:
+            call.is_accepted = True
+            self._report_contact()
+
     def line_received(self, call: DiscoveryCall) -> None:
         """Record a line. Once a list was received, a line confirms that there are no other changes up to now."""
         with self._change:
--- a/gingervane/node/discovery_call.py
+++ b/gingervane/node/discovery_call.py
@@ -123,6 +123,9 @@
 class CallHandlers(Protocol):
     """Handlers of a call's events, called in the call's thread."""
 
+    def call_accepted(self, call: DiscoveryCall) -> None:
+        """Handle the establishment of the call's connection."""
+
     def line_received(self, call: DiscoveryCall) -> None:
         """Handle a received line, whatever its content."""
 
@@ -139,6 +142,7 @@
     def __init__(self, progress: CallProgress, handlers: CallHandlers) -> None:
         self.progress = progress
         self.interrupted: CallEnd | None = None  # the reason, once the call is interrupted
+        self.is_accepted = False  # its connection was established; set by the call's thread
         self.has_list = False  # a list was received, which makes this a watch; set by the call's thread
         self.is_stalled = False  # a watch that received no line within the timeout; set by the call's thread
         self._handlers = handlers
@@ -151,6 +155,11 @@
         """Whether the endpoint list is watched on this call."""
         return self.has_list and not self.is_stalled and not self.interrupted
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether discovery has accepted the call and may still answer it with a first list."""
+        return self.is_accepted and not self.has_list and not self.interrupted
+
     def interrupt(self, reason: CallEnd) -> None:
         """End the call as soon as possible."""
         with self._lock:
@@ -184,6 +193,7 @@
                 self._sock = sock
             self._await_connection(sock, code)
             self.progress.connected_at = time.monotonic()
+            self._handlers.call_accepted(self)
             sock.settimeout(None)
             target = f"/v1/endpoints?follow=1&since={self.progress.since}"
             sock.sendall(
--- a/gingervane/node/service.py
+++ b/gingervane/node/service.py
@@ -20,7 +20,7 @@
 from gingervane.coordinator.ports import ClusterPorts
 from gingervane.coordinator.replica_start_times import ReplicaStartTimes
 from gingervane.decisions.engine import DecisionEngine
-from gingervane.decisions.membership_watch import WatchOptions
+from gingervane.decisions.watch_options import WatchOptions
 from gingervane.fronts.client_connection import ClosedConnection
 from gingervane.fronts.http_server import HttpServer, ServerLimits
 from gingervane.limits.memory_budget import MemoryBudget
@@ -202,11 +202,15 @@
     def _watch_membership(self) -> None:
         self.watch.request_watch()
 
-    def _report_ready(self) -> None:
+    def _report_ready(self, cached_list_age: float | None) -> None:
         self.front.ready = True
         if self._is_stopping:  # checked last, as the main thread may begin to stop at any moment
             self.front.ready = False
-        self.telemetry.info(LogEvent.READY)
+        if cached_list_age is None:
+            self.telemetry.info(LogEvent.READY)
+        else:
+            age = round(cached_list_age, 1)
+            self.telemetry.warning(LogEvent.READY_ON_CACHED_LIST, assumed_age_seconds=age)
 
     def _send_to_peers(self, payload: bytes) -> None:
         if self._peers:
--- a/gingervane/telemetry/events.py
+++ b/gingervane/telemetry/events.py
@@ -90,7 +90,11 @@
     )
     THREAD_FAILED = "thread_failed", "A thread ended by an unexpected exception: a fault of this program."
     LISTENING = "listening", "Requests are accepted from now on."
-    READY = "ready", "The node is reported as ready: it has a list, or discovery has not sent one."
+    READY = "ready", "The node is reported as ready: it has a list, or requests one at intervals."
+    READY_ON_CACHED_LIST = (
+        "ready_on_cached_list",
+        "The node is ready without a list from discovery: it serves on the one of its configuration.",
+    )
     CONFIGURATION_RELOADED = "configuration_reloaded", "SIGHUP: the configuration was read again."
     CONFIGURATION_RELOAD_FAILED = (
         "configuration_reload_failed",
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -6,7 +6,7 @@
 
 from gingervane import interface as api
 from gingervane.decisions.engine import DecisionEngine
-from gingervane.decisions.membership_watch import DEFAULT_WATCH_OPTIONS, WatchOptions
+from gingervane.decisions.watch_options import DEFAULT_WATCH_OPTIONS, WatchOptions
 
 ANSWER_GRACE = 0.02  # seconds after a query's deadline in which an answer is still accepted
 OK, READY = api.AttemptOutcome.OK, api.ReplicaState.READY
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -89,6 +89,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.address_changes: list[float] = []
+        self.contact_changes: list[bool] = []
         self.request_watch: Callable[[], None] = lambda: None
 
     def endpoints_updated(self, update: EndpointsUpdated) -> None:
@@ -101,6 +102,9 @@
         self.address_changes.append(seconds_without_data)
         self.request_watch()
 
+    def discovery_contact_changed(self, is_waiting: bool) -> None:
+        self.contact_changes.append(is_waiting)
+
 
 class RecordedLog(Waiter):
     """A log that records its events: items are (event, fields)."""
--- a/tests/test_decisions_drain_reports.py
+++ b/tests/test_decisions_drain_reports.py
@@ -13,8 +13,8 @@
     REPORT_DRAINING,
     REPORTERS_PER_CHANGE,
 )
-from gingervane.decisions.membership_watch import WatchOptions
 from gingervane.decisions.replica_leases import REPORT_LIFETIME
+from gingervane.decisions.watch_options import WatchOptions
 from gingervane.interface import MembershipUpdateKind, ReplicaState
 from gingervane.node.service import NOTIFIED_WITHIN, PARALLEL_WATCH_CALLS
 
--- a/tests/test_decisions_membership.py
+++ b/tests/test_decisions_membership.py
@@ -10,8 +10,9 @@
 from hosts import BASE, Host, replica
 
 from gingervane import interface as api
-from gingervane.decisions.membership_watch import CACHED_LIST_AGE, WatchOptions
+from gingervane.decisions.readiness import CACHED_LIST_AGE
 from gingervane.decisions.replica_leases import EXCLUSION_DURATION
+from gingervane.decisions.watch_options import WatchOptions
 from gingervane.interface import MembershipUpdateKind, ReplicaState
 from gingervane.node.service import NOTIFIED_WITHIN, PARALLEL_WATCH_CALLS
 
--- a/tests/test_discovery_watch_model.py
+++ b/tests/test_discovery_watch_model.py
@@ -104,11 +104,15 @@
     def discovery_address_changed(self, seconds_without_data: float) -> None:
         self.reports.append(api.DiscoveryAddressChanged(seconds_without_data))
 
+    def discovery_contact_changed(self, is_waiting: bool) -> None:
+        self.reports.append(api.DiscoveryContactChanged(is_waiting))
+
     # ---- what happens
 
     def take(self, step: Step) -> None:
         calls = self.calls
         happenings: dict[str, Callable[[Any], None]] = {
+            "accept": self.watch.call_accepted,
             "answer": self._answer,
             "value without line end": self._send_value,
             "line": self._send_line,
@@ -205,6 +209,8 @@
     def _check(self) -> None:
         has_watch = self.watch._has_watch()
         assert self.engine.membership.watch.is_up == has_watch
+        readiness = self.engine.membership.readiness
+        assert readiness.is_serving or readiness._is_waiting == any(call.is_waiting for call in self.calls)
         if has_watch or self.watch._call_count > self._calls_begun:
             self._called_or_watched_at = self.now
         self._calls_begun = self.watch._call_count
@@ -235,17 +241,19 @@
 
 STEPS = st.builds(
     Step,
-    st.sampled_from(["answer", "answer", "value without line end", "line", "end", "move", "wait"]),
+    st.sampled_from(["accept", "answer", "answer", "value without line end", "line", "end", "move", "wait"]),
     st.integers(0, PARALLEL_WATCH_CALLS),
     st.sampled_from([0.0, 0.0, 0.05, 0.5, 2.0, 2.6, 7.0]),
     st.booleans(),
 )
 
 
-# Guards against calls that nothing watches, and an engine that takes the list for watched when it is not.
+# Guards against calls that nothing watches, an engine that takes the list for watched when it is not, and
+# one that does not know whether discovery has accepted a call.
 @given(polled=st.booleans(), steps=st.lists(STEPS, max_size=14))
 @example(polled=True, steps=[Step("answer"), Step("move")])
 @example(polled=False, steps=[])
+@example(polled=False, steps=[Step("accept"), Step("move"), Step("accept"), Step("end")])
 @example(polled=True, steps=[Step("answer"), Step("move", decisions_run=False), Step("answer")])
 @example(polled=True, steps=[Step("end"), Step("move"), Step("wait", seconds=0.05), Step("end")])
 def test_without_a_watch_another_call_begins(polled: bool, steps: list[Step]) -> None:
--- a/tests/test_unanswered_discovery_calls.py
+++ b/tests/test_unanswered_discovery_calls.py
@@ -171,3 +171,20 @@
     finally:
         discovery.close()
         platform.close()
+
+
+# Guards against an early query on an open connection: it was sent by the old list, to a removed replica.
+def test_where_lists_are_pushed_queries_before_the_first_list_are_refused(tmp_path: Path) -> None:
+    discovery, removed, kept = ScriptedDiscovery(), Replica(0), Replica(0)
+    platform = Platform(tmp_path, removed, kept, settings=PUSH_SETTINGS, where=discovery.where)
+    try:
+        sock = discovery.sock(1)
+        for number in range(QUERIES):
+            assert platform.ask(f"early{number}", {0: 1.0})[0] == 503
+        sock.sendall(HEAD + chunk(line(1, host(kept))))
+        wait_until(lambda: platform.node.front.ready, "the node is ready")
+        assert platform.ask("later", {0: 1.0})[0] == 200
+        assert not removed.parts.items
+    finally:
+        discovery.close()
+        platform.close()
