--- a/benchmarks/discovery_calls.py
+++ b/benchmarks/discovery_calls.py
@@ -1,10 +1,10 @@
-"""Calls of a whole fleet to a discovery that answers one at a time, after it has moved, on simulated time.
+"""Calls of a whole fleet to a discovery that answers one at a time, after a move and at a start, on simulated time.
 
 python benchmarks/discovery_calls.py
 
-All co-ordinators have a watch and are moved to another address within a tenth of a second. Discovery works off the
-calls in the order of their arrival, also those that their callers have given up, which is the dearest case. A row
-without further calls is a host that makes one call and waits for it.
+All co-ordinators have a watch and are moved to another address within a tenth of a second, or all are started within
+it with a cached list. Discovery works off the calls in the order of their arrival, also those that their callers have
+given up, which is the dearest case. A row without further calls is a host that makes one call and waits for it.
 """
 
 from __future__ import annotations
@@ -21,7 +21,9 @@
 from gingervane.node.service import PARALLEL_WATCH_CALLS, WATCH_OPTIONS
 
 CO_ORDINATORS = 200
+STARTED_CO_ORDINATORS = 40
 SERVICE_TIMES = (0.01, 0.05, 0.2)  # seconds that discovery takes for a call
+START_SERVICE_TIMES = (0.01, 0.1, 0.5)  # the same at a start
 MOVES_WITHIN = 0.1  # seconds
 STARTED_AT, MOVED_AT, ENDS_AT = 100.0, 120.0, 300.0  # seconds
 DRAIN_GRACE = 0.5  # seconds
@@ -35,12 +37,16 @@
     open_calls: list[int] = field(default_factory=list)
     calls: int = 0
     answered_at: float = 0.0
+    ready_at: float = 0.0
 
 
 class Fleet:
     """The co-ordinators, discovery's queue, and the events to come."""
 
-    def __init__(self, settings: api.Settings, service_time: float, makes_further_calls: bool) -> None:
+    def __init__(
+        self, settings: api.Settings, service_time: float, makes_further_calls: bool, starts: bool = False
+    ) -> None:
+        """`starts`: whether the co-ordinators are started rather than moved."""
         self._service_time = service_time
         self._makes_further_calls = makes_further_calls
         self._queue: deque[tuple[int, int]] = deque()  # co-ordinator and call
@@ -49,13 +55,18 @@
         self._call_number = 0
         self._is_serving = False
         self.callers = [
-            Caller(DecisionEngine(settings, seed, WATCH_OPTIONS)) for seed in range(CO_ORDINATORS)
+            Caller(DecisionEngine(settings, seed, WATCH_OPTIONS))
+            for seed in range(settings.coordinator_count)
         ]
         moves = random.Random(1)
-        for number in range(CO_ORDINATORS):
-            self._add(STARTED_AT, number, api.MembershipChanged(api.MembershipUpdateKind.FULL, ()))
+        for number in range(settings.coordinator_count):
             move_at = MOVED_AT + moves.uniform(0.0, MOVES_WITHIN)
-            self._add(move_at, number, api.DiscoveryAddressChanged(moves.uniform(0.0, 2.0)))
+            if starts:
+                self._add(move_at, number, api.MembershipChanged(api.MembershipUpdateKind.CACHED, ()))
+                self._add(move_at, number, api.DiscoveryContactChanged(True))
+            else:
+                self._add(STARTED_AT, number, api.MembershipChanged(api.MembershipUpdateKind.FULL, ()))
+                self._add(move_at, number, api.DiscoveryAddressChanged(moves.uniform(0.0, 2.0)))
 
     def run(self) -> None:
         """Play until no call is open."""
@@ -77,6 +88,8 @@
         for action in caller.engine.handle(now, [event]):
             if isinstance(action, api.SetTimer):
                 self._add(now + action.delay, number, api.TimerFired(action.label))
+            elif isinstance(action, api.AcceptQueries):
+                caller.ready_at = now
             elif isinstance(action, api.WatchMembership) and now >= MOVED_AT and not caller.answered_at:
                 self._call(now, number)
 
@@ -107,14 +120,33 @@
         self._serve_next(now)
 
 
-def fleet_settings(polled: bool) -> api.Settings:
+def fleet_settings(polled: bool, coordinators: int = CO_ORDINATORS) -> api.Settings:
     """Return the settings of a co-ordinator of the fleet."""
     return engine_settings(1)._replace(
-        coordinator_count=CO_ORDINATORS, membership_polled=polled, drain_grace=DRAIN_GRACE
+        coordinator_count=coordinators, membership_polled=polled, drain_grace=DRAIN_GRACE
+    )
+
+
+def print_starts() -> None:
+    """Print when a fleet that starts at once is ready, where lists are pushed."""
+    print(
+        f"{STARTED_CO_ORDINATORS} co-ordinators, started within {MOVES_WITHIN} s, lists pushed;"
+        " seconds from the start"
     )
+    print("ms a call  calls  half are ready  all are ready  all have a list")
+    for service_time in START_SERVICE_TIMES:
+        fleet = Fleet(fleet_settings(False, STARTED_CO_ORDINATORS), service_time, True, starts=True)
+        fleet.run()
+        ready = sorted(caller.ready_at - MOVED_AT for caller in fleet.callers)
+        listed = max(caller.answered_at or ENDS_AT for caller in fleet.callers) - MOVED_AT
+        calls = sum(caller.calls for caller in fleet.callers)
+        print(
+            f"{service_time * 1000:9.0f} {calls:6} {ready[len(ready) // 2]:15.1f} {ready[-1]:14.1f} {listed:16.1f}"
+        )
 
 
 def main() -> None:
+    print_starts()
     print(f"{CO_ORDINATORS} co-ordinators, moved within {MOVES_WITHIN} s; seconds from the move")
     print(
         "lists   ms a call  further calls  calls  a co-ordinator and second  half have a list  all have one"
