A class of short work is not refused for the long work of another

What callers saw: one moving mean of the latencies of all classes stood for the latency of each. Beside a class of long work a query of a short one was refused as not expected in its caller's time, and counted as queueing, so that its late parts got no hedge.

Cause: LatencyEstimator.mean_latency mixes classes; admission compared it with one caller's time and with one class's baseline.

Change: outcomes are taken as multiples of their class's baseline, in one figure for all classes, as their parts queue at the same replicas. Expected is the baseline of the query's class times that figure; requests queue where it is over two. A baseline grew by 2% a query, in seconds at a busy co-ordinator; now it doubles in 60 s at most.

Tests of the decisions and recordings pass.

--- a/gingervane/decisions/admission.py
+++ b/gingervane/decisions/admission.py
@@ -19,7 +19,7 @@
 from gingervane.decisions.replica_state import KnownReplica
 from gingervane.decisions.sliding_window import TRAFFIC_WINDOW, SlidingWindowCount
 
-# Expected latency, as a multiple of the class's baseline, above which requests are assumed to queue at the replicas
+# Expected latency, as a multiple of the baseline, above which requests are assumed to queue at the replicas
 # (docs/design.md, no hedge under queueing).
 QUEUEING_LATENCY = 2.0
 # Standard deviations by which a tenant's query count must exceed its quota. The count of each of many co-ordinators
@@ -60,19 +60,18 @@
         """Count a query of a tenant."""
         self._queries_by_tenant[tenant].add(self._context.now)
 
-    def expected_latency(self) -> float:
-        """Mean latency in seconds of a part at the present load, over all ready replicas."""
-        open_requests = len(self._dispatcher.open_attempts) / max(self._membership.ready_count, 1)
-        return self._latency.expected(open_requests, self._context.now)
+    def expected_latency(self, query_class: int) -> float:
+        """Mean latency in seconds of a part of this class at the present load, over all ready replicas."""
+        return self._latency.expected(query_class, self._requests_per_replica(), self._context.now)
 
-    def _expected_latency_at(self, replicas: list[KnownReplica]) -> float:
-        """Mean latency in seconds of a part at these replicas (at least one) at their present load."""
-        open_requests = sum(len(replica.requests) for replica in replicas) / len(replicas)
-        return self._latency.expected(open_requests, self._context.now)
+    def is_queueing(self) -> bool:
+        """Whether requests queue at the replicas: parts take much longer than usual for their classes."""
+        ratio = self._latency.queueing_ratio(self._requests_per_replica(), self._context.now)
+        return ratio > QUEUEING_LATENCY
 
-    def is_queueing(self, query_class: int) -> bool:
-        """Whether requests queue at the replicas: parts take much longer than usual for the class."""
-        return self.expected_latency() > QUEUEING_LATENCY * self._latency.baseline[query_class]
+    def _requests_per_replica(self) -> float:
+        """Mean number of this co-ordinator's requests that are open at a ready replica."""
+        return len(self._dispatcher.open_attempts) / max(self._membership.ready_count, 1)
 
     def is_over_capacity(self, query: Query, parts: list[Part], replicas: list[KnownReplica]) -> bool:
         """Whether the query is to be rejected if its parts (at least one) would go to these replicas.
@@ -83,17 +82,19 @@
         """
         if not any(replica.requests for replica in replicas):
             return False
-        if self._is_over_quota(query.arrival.tenant) and self.is_queueing(query.arrival.query_class):
+        if self._is_over_quota(query.arrival.tenant) and self.is_queueing():
             return True
         return not self._is_expected_in_time(query, parts, replicas)
 
     def _is_expected_in_time(self, query: Query, parts: list[Part], replicas: list[KnownReplica]) -> bool:
         """Whether the slowest part that the answer needs is expected in the time that the caller has left."""
         now = self._context.now
+        query_class = query.arrival.query_class
+        requests_per_replica = sum(len(replica.requests) for replica in replicas) / len(replicas)
+        latency = self._latency.expected(query_class, requests_per_replica, now)
         steps = 2 if query.query_class.second_step_parts else 1
-        slowest_latency = self._expected_latency_at(replicas) * self._slowest_to_mean_ratio(query, replicas)
         time_left = query.answer_by - now
-        if steps * slowest_latency > time_left:
+        if steps * latency * self._slowest_to_mean_ratio(query, replicas) > time_left:
             return False
         assigned = dict(zip(map(id, parts), replicas, strict=True))
 
--- a/gingervane/decisions/attempt_timing.py
+++ b/gingervane/decisions/attempt_timing.py
@@ -26,7 +26,7 @@
     def hedge_delay(self, part: Part) -> float:
         """Seconds after which an attempt is late."""
         measured = self._latency.percentile(part.query.arrival.query_class, HEDGE_PERCENTILE)
-        return _initial_delay(part, self._holders_to_ask(part)) if measured is None else measured
+        return _initial_delay(part, self.holders_to_ask(part)) if measured is None else measured
 
     def usual_latency(self, part: Part) -> float:
         """The median latency of the part's class or, before it is known, a delay for retries, also at one holder."""
@@ -35,11 +35,11 @@
 
     def share_of_attempt(self, part: Part) -> float:
         """Seconds of its caller's time for each holder that may be asked, one after another."""
-        return (part.query.answer_by - part.first_sent_at) / self._holders_to_ask(part)
+        return (part.query.answer_by - part.first_sent_at) / self.holders_to_ask(part)
 
     def share_of_next_attempt(self, part: Part) -> float:
         """Seconds of the time that its caller has left for each further attempt; all of it for the last one."""
-        attempts_left = max(self._holders_to_ask(part) - part.attempts_made, 1)
+        attempts_left = max(self.holders_to_ask(part) - part.attempts_made, 1)
         return (part.query.answer_by - self._context.now) / attempts_left
 
     def second_step_time(self, query: Query) -> float:
@@ -60,7 +60,7 @@
         measured = self._latency.percentile(part.query.arrival.query_class, 0.5)
         return self._context.now + delay + (measured or 0.0) < part.query.answer_by
 
-    def _holders_to_ask(self, part: Part) -> int:
+    def holders_to_ask(self, part: Part) -> int:
         """The number of holders that may be asked one after another, at least 1."""
         holders = len(self._membership.holders(part.arrival.shard))
         return max(1, min(self._settings.max_attempts, holders))
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -145,7 +145,7 @@
         self._changed_queries[event.id] = query
         self._retry_budget.record_request()
         self._admission.record_query(event.tenant)
-        self.latency.update_baseline(event.query_class)
+        self.latency.update_baseline(event.query_class, now)
         self.context.set_timer(answer_by - now, partial(self._on_deadline, query))
         if query_class.second_step_parts and query_class.required_coverage < query_class.complete_coverage:
             delay = answer_by - self._timing.second_step_time(query) - now
@@ -178,7 +178,8 @@
                 replica, sent_at = attempt.replica, attempt.request.sent_at
                 if not replica.ejected_for and replica.last_answered_send_at < sent_at:
                     now = self.context.now
-                    self.latency.record_outcome(now - sent_at, attempt.requests_ahead, now)
+                    query_class = query.arrival.query_class
+                    self.latency.record_outcome(query_class, now - sent_at, attempt.requests_ahead, now)
 
     def _start_parts(self, query: Query) -> None:
         """Send the parts of a step, or reject the query."""
@@ -317,7 +318,7 @@
             relative_latency = self._timing.share_of_attempt(attempt.part)
         now = self.context.now
         self.latency.record_relative_latency(replica, query_class, relative_latency, now)
-        self.latency.record_outcome(latency, attempt.requests_ahead, now)
+        self.latency.record_outcome(query_class, latency, attempt.requests_ahead, now)
 
     def _receive_part(self, part: Part, latency: float) -> None:
         """Process the first good answer to a part."""
--- a/gingervane/decisions/hedging.py
+++ b/gingervane/decisions/hedging.py
@@ -130,9 +130,8 @@
 
         A part of a query that is nearly complete is a straggler: its lateness does not indicate queueing.
         """
-        query = part.query
-        queueing = self._admission.is_queueing(query.arrival.query_class)
-        return queueing and query.weight_received < 1 - MAX_STRAGGLER_WEIGHT
+        is_straggler = part.query.weight_received >= 1 - MAX_STRAGGLER_WEIGHT
+        return not is_straggler and self._admission.is_queueing()
 
     def _retry_failed(self, part: Part) -> None:
         """Make another attempt at a part that is open at ejected replicas only, if it can be answered in time.
--- a/gingervane/decisions/latency.py
+++ b/gingervane/decisions/latency.py
@@ -10,8 +10,8 @@
 
 # Number of samples of a class from which on its percentiles are computed from them (docs/design.md).
 MIN_SAMPLES = 20
-# Factor by which the baseline median may grow with each query of the class (docs/design.md).
-BASELINE_GROWTH = 1.02
+# Seconds in which the baseline median may double: replicas that have become slower for good are no queue.
+BASELINE_DOUBLING_TIME = 60.0
 # Number of outcomes over which the moving means are taken (docs/design.md, admission).
 OUTCOMES_PER_MOVING_MEAN = 40
 # Half-life in seconds of the expected latency while no attempt ends (docs/design.md, admission).
@@ -43,6 +43,10 @@
     def __init__(self, query_classes: tuple[api.QueryClass, ...]) -> None:
         self.samples = [RankedSamples() for _ in query_classes]
         self.baseline = [inf for _ in query_classes]  # usual median of each class, without queueing
+        self._baseline_at = dict[int, float]()  # by class: time of the last update
+        self.mean_ratio = (
+            1.0  # moving mean of the latest outcomes, as multiples of the baselines of their classes
+        )
         self.mean_latency = 0.0  # moving mean of the latest outcomes, seconds
         self.mean_latency_at = 0.0  # time of the latest outcome
         self.mean_requests_ahead = (
@@ -64,26 +68,45 @@
         ranked = self.samples[query_class].ranked
         return max(self.mean_latency, ranked[-1] if ranked else 0.0)
 
-    def update_baseline(self, query_class: int) -> None:
-        """Lower the baseline to the class's median at once, or raise it slowly, once for each query."""
+    def update_baseline(self, query_class: int, now: float) -> None:
+        """Lower the baseline to the class's median at once, or raise it slowly. Called for each query."""
         median = self.percentile(query_class, 0.5)
-        if median is not None:
-            self.baseline[query_class] = min(self.baseline[query_class] * BASELINE_GROWTH, median)
+        if median is None:
+            return
+        seconds = now - self._baseline_at.get(query_class, now)
+        grown = self.baseline[query_class] * 2.0 ** (seconds / BASELINE_DOUBLING_TIME)
+        self.baseline[query_class] = min(grown, median)
+        self._baseline_at[query_class] = now
 
-    def expected(self, requests_per_replica: float, now: float) -> float:
-        """Mean latency in seconds at this load: the last mean, scaled by the open requests now and at that time.
+    def queueing_ratio(self, requests_per_replica: float, now: float) -> float:
+        """Mean latency at this load as a multiple of the baseline: about 1 where nothing queues.
 
-        It decays while no outcomes are recorded; otherwise a co-ordinator that rejects everything would never stop.
+        The last mean is scaled by the open requests now and at that time. It decays while no outcomes are recorded;
+        otherwise a co-ordinator that rejects everything would never stop. It is one figure for all classes, as their
+        parts queue at the same replicas.
         """
+        return self.mean_ratio * self._load_factor(requests_per_replica, now)
+
+    def expected(self, query_class: int, requests_per_replica: float, now: float) -> float:
+        """Mean latency in seconds of a part of this class at this load."""
+        if self.baseline[query_class] == inf:
+            return self.mean_latency * self._load_factor(requests_per_replica, now)
+        return self.baseline[query_class] * self.queueing_ratio(requests_per_replica, now)
+
+    def _load_factor(self, requests_per_replica: float, now: float) -> float:
         time_without_outcome = max(now - self.mean_latency_at - self.mean_latency, 0.0)
-        latency_at_load = self.mean_latency * (1 + requests_per_replica) / (1 + self.mean_requests_ahead)
-        return latency_at_load * float(0.5 ** (time_without_outcome / EXPECTED_LATENCY_HALF_LIFE))
+        load = (1 + requests_per_replica) / (1 + self.mean_requests_ahead)
+        return load * float(0.5 ** (time_without_outcome / EXPECTED_LATENCY_HALF_LIFE))
 
-    def record_outcome(self, latency: float, requests_ahead: int, now: float) -> None:
-        """Update the mean from the latency of an attempt, and from the requests that it found at its replica."""
+    def record_outcome(self, query_class: int, latency: float, requests_ahead: int, now: float) -> None:
+        """Update the means from the latency of an attempt, and from the requests that it found at its replica."""
         self.mean_latency += (latency - self.mean_latency) / OUTCOMES_PER_MOVING_MEAN
         self.mean_latency_at = now
         self.mean_requests_ahead += (requests_ahead - self.mean_requests_ahead) / OUTCOMES_PER_MOVING_MEAN
+        baseline = self.baseline[query_class]
+        if baseline < inf:
+            ratio = latency / max(baseline, MIN_MEDIAN)
+            self.mean_ratio += (ratio - self.mean_ratio) / OUTCOMES_PER_MOVING_MEAN
 
     def record_relative_latency(
         self, replica: KnownReplica, query_class: int, latency: float, now: float
--- a/gingervane/decisions/query_completion.py
+++ b/gingervane/decisions/query_completion.py
@@ -84,16 +84,18 @@
             part.may_have_run for part in query.parts
         )
         if harmless and query.state is QueryState.FIRST_STEP:
-            self._context.actions.append(api.Reject(query.arrival.id, self._retry_after(), reason))
+            self._context.actions.append(
+                api.Reject(query.arrival.id, self._retry_after(query.arrival.query_class), reason)
+            )
         else:
             self._context.actions.append(api.Fail(query.arrival.id, reason))
         self.close(query)
 
-    def _retry_after(self) -> float:
+    def _retry_after(self, query_class: int) -> float:
         """Advised seconds before a client retry; 0 if advice is not allowed."""
         if not self._settings.retry_after_allowed:
             return 0.0
-        expected = max(self._admission.expected_latency(), self._settings.timer_granularity)
+        expected = max(self._admission.expected_latency(query_class), self._settings.timer_granularity)
         return min(self._settings.max_retry_after, expected)
 
     def abandon(self, query_id: int) -> None:
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from math import inf
 
 from gingervane import interface as api
 from gingervane.decisions.engine import DecisionEngine
@@ -199,6 +200,13 @@
             self.finish(part)
             self.wait(0.05)
 
+    def set_mean_latency(self, seconds: float) -> None:
+        """Have the engine take this for the mean latency of the latest parts of its first class."""
+        latency = self.engine.latency
+        latency.mean_latency, latency.mean_latency_at = seconds, self.now
+        if latency.baseline[0] < inf:
+            latency.mean_ratio = seconds / latency.baseline[0]
+
     def where(self, part: int, attempt: int = 0) -> int:
         """The id of the replica to which an attempt was sent."""
         return self.sends[part][attempt][1]
