A standing queue is kept so short that all attempts fit into the caller's time

Cause: a query was admitted as long as its answer was expected in its caller's time, so that queues grew up to that time; copies, repeats and work for callers that had left kept them up.

Evidence: test_while_a_queue_stands_a_query_needs_time_for_all_attempts fails before.

Change: a queue that outlasts the class's p95 is no burst: all parts that met it at its beginning have been answered. While it stands, a query that would meet it is admitted only if all attempts that may follow one another fit into its caller's time.

The whole suite passes.

--- a/gingervane/decisions/admission.py
+++ b/gingervane/decisions/admission.py
@@ -2,6 +2,11 @@
 
 Work that cannot be finished in time is refused before it is begun: the caller can go elsewhere or come back, and
 the replicas' time is left for queries that can be answered.
+
+A replica serves no more because its queue is longer: a longer queue makes each caller wait longer, up to the point at
+which replicas work for callers that have left. A queue after a burst drains by itself. One that is still there after
+all parts that met it at its beginning have been answered is a standing queue; it is kept so short that as many
+attempts as may follow one another at a part fit into the caller's time.
 """
 
 from __future__ import annotations
@@ -11,6 +16,7 @@
 
 from gingervane import interface as api
 from gingervane.decisions.attempt_dispatch import AttemptDispatcher
+from gingervane.decisions.attempt_timing import HEDGE_PERCENTILE, AttemptTiming
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.latency import LatencyEstimator
 from gingervane.decisions.membership import Membership
@@ -42,12 +48,15 @@
         context: BatchContext,
         membership: Membership,
         latency: LatencyEstimator,
+        timing: AttemptTiming,
         dispatcher: AttemptDispatcher,
     ) -> None:
         self._context = context
         self._membership = membership
         self._latency = latency
+        self._timing = timing
         self._dispatcher = dispatcher
+        self._queueing_since: float | None = None  # None while requests do not queue
         self._coordinator_count = settings.coordinator_count
         self._quotas = dict(enumerate(settings.tenant_quotas))
         self._queries_by_tenant = defaultdict[int, SlidingWindowCount](self._new_count)
@@ -86,15 +95,33 @@
             return True
         return not self._is_expected_in_time(query, parts, replicas)
 
+    def _is_queue_standing(self, query_class: int) -> bool:
+        """Whether requests have queued for longer than nearly all parts of this class take."""
+        now = self._context.now
+        if not self.is_queueing():
+            self._queueing_since = None
+            return False
+        if self._queueing_since is None:
+            self._queueing_since = now
+        nearly_all = self._latency.percentile(query_class, HEDGE_PERCENTILE)
+        return nearly_all is not None and now - self._queueing_since >= nearly_all
+
     def _is_expected_in_time(self, query: Query, parts: list[Part], replicas: list[KnownReplica]) -> bool:
-        """Whether the slowest part that the answer needs is expected in the time that the caller has left."""
+        """Whether the slowest part that the answer needs is expected in the time that the caller has left.
+
+        Where the query would meet a standing queue, all attempts that may follow one another have to fit.
+        """
         now = self._context.now
         query_class = query.arrival.query_class
         requests_per_replica = sum(len(replica.requests) for replica in replicas) / len(replicas)
         latency = self._latency.expected(query_class, requests_per_replica, now)
         steps = 2 if query.query_class.second_step_parts else 1
+        attempts = 1
+        is_queue_standing = self._is_queue_standing(query_class)
+        if is_queue_standing and latency > QUEUEING_LATENCY * self._latency.baseline[query_class]:
+            attempts = max(map(self._timing.holders_to_ask, parts))
         time_left = query.answer_by - now
-        if steps * latency * self._slowest_to_mean_ratio(query, replicas) > time_left:
+        if attempts * steps * latency * self._slowest_to_mean_ratio(query, replicas) > time_left:
             return False
         assigned = dict(zip(map(id, parts), replicas, strict=True))
 
--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -71,7 +71,7 @@
             start_hedge_timer=self._start_hedge_timer,
         )
         self._admission = AdmissionControl(
-            settings, self.context, self.membership, self.latency, self._dispatcher
+            settings, self.context, self.membership, self.latency, self._timing, self._dispatcher
         )
         self.completion = QueryCompletion(
             settings, self.context, admission=self._admission, dispatcher=self._dispatcher
--- a/tests/test_decisions_admission.py
+++ b/tests/test_decisions_admission.py
@@ -156,6 +156,48 @@
     assert (host.query(0) in host.ended) is rejected
 
 
+def queueing_host(settings: api.Settings = BASE) -> Host:
+    """A host whose parts have taken 0.1 s, and of which the latest took four times as long."""
+    host = Host(settings, replicas=3)
+    host.warm_up(60)
+    for _ in range(3):
+        host.query(0)  # one open request at each replica
+    host.set_mean_latency(0.4)
+    return host
+
+
+# Guards against a queue as long as callers wait: it serves nobody more, and outlasts the load that made it.
+def test_while_a_queue_stands_a_query_needs_time_for_all_attempts() -> None:
+    host = queueing_host()
+    assert host.query(0, time=1.5) not in host.ended, "a queue that has just begun may be a burst"
+    host.wait(0.2)
+    host.set_mean_latency(0.4)
+    late = host.query(0, time=1.5)
+    assert isinstance(host.ended[late], api.Reject) and not host.sends[part_of(host, late)]
+    assert host.query(0, time=6.0) not in host.ended, "three attempts fit into its time"
+
+
+def test_one_attempt_has_to_fit_where_only_one_may_be_made() -> None:
+    host = queueing_host(BASE._replace(max_attempts=1))
+    host.query(0, time=1.5)
+    host.wait(0.2)
+    host.set_mean_latency(0.4)
+    assert host.query(0, time=1.5) not in host.ended
+
+
+def test_a_queue_that_has_drained_once_counts_as_a_new_one() -> None:
+    host = queueing_host()
+    host.query(0, time=1.5)
+    host.wait(0.2)
+    for part, attempt in list(host.open_attempts):
+        host.finish(part, attempt=attempt)
+    host.set_mean_latency(0.1)
+    for _ in range(4):
+        host.query(0, time=1.5)
+    host.set_mean_latency(0.4)
+    assert host.query(0, time=1.5) not in host.ended
+
+
 # Guards against a class of short work that is refused, or never hedged, for the long work of another class.
 def test_the_long_work_of_one_class_is_no_queue_for_another() -> None:
     kinds = (query_class(deadline=2.0), query_class(deadline=30.0))
