A key that may have run stays one when a repeat of it is refused

Cause: IdempotencyRecords.finish put the outcome of the last attempt in place of the state of the key. Proof that one attempt did not run says nothing of an earlier one.

The state machine left out a refusal after an attempt that had run; with refusals it finds the double effect before the change, and test_a_key_that_may_have_run_stays_so_when_a_repeat_is_refused fails.

Change: a key in progress remembers that an earlier attempt may have run; a refusal leaves it unknown, in its first window, and its client is told 502, as 503 promises that nothing ran.

--- a/gingervane/writes/idempotency.py
+++ b/gingervane/writes/idempotency.py
@@ -8,6 +8,8 @@
   executed.
 - The record of a write is durable before the first byte of the write is sent. A process that finds an
   unfinished record when it starts must assume that the write may have been executed.
+- A write that may have been executed stays one, whatever becomes of its later attempts: the proof that an attempt
+  was not executed says nothing of an earlier one.
 - A repeat of a key whose write has completed gets the stored result, and nothing is sent.
 - A key identifies one request content. The same key with different content is a client error.
 - A repeat of a key whose write is in progress waits for that write and does not execute a second one.
@@ -81,6 +83,9 @@
     def __init__(self, limits: IdempotencyLimits) -> None:
         self._limits = limits
         self._records: OrderedDict[str, IdempotencyRecord] = OrderedDict()
+        self._possibly_executed: set[str] = (
+            set()
+        )  # keys in progress, an earlier attempt of which may have run
 
     def __len__(self) -> int:
         return len(self._records)
@@ -108,17 +113,22 @@
                 return self._start_attempt(key, digest, record.version, now, now)
         if now >= self._send_deadline(record.first_sent_at):
             return KeyDecision(KeyAction.WINDOW_EXPIRED, record.version)
+        self._possibly_executed.add(key)
         return self._start_attempt(key, digest, record.version, record.first_sent_at, now)
 
-    def finish(self, key: str, state: WriteState, now: float, result: Any = None) -> None:
-        """Record the outcome of a write.
+    def finish(self, key: str, state: WriteState, now: float, result: Any = None) -> WriteState:
+        """Record the outcome of an attempt; return the state of the write, over all its attempts.
 
-        `state` is COMPLETED (with the result), NOT_EXECUTED on proof that nothing was executed, or else
-        UNKNOWN.
+        `state` is COMPLETED (with the result), NOT_EXECUTED on proof that nothing of this attempt was executed, or
+        else UNKNOWN.
         """
+        if key in self._possibly_executed and state is WriteState.NOT_EXECUTED:
+            state = WriteState.UNKNOWN
+        self._possibly_executed.discard(key)
         record = self._records.get(key)
         if record is not None and record.state is WriteState.IN_PROGRESS:
             self._store(key, record._replace(state=state, updated_at=now, result=result))
+        return state
 
     def restore(self, key: str, record: IdempotencyRecord) -> None:
         """Restore a record of an earlier process; a write that was in progress may have been executed."""
--- a/gingervane/writes/quorum_writes.py
+++ b/gingervane/writes/quorum_writes.py
@@ -119,7 +119,9 @@
         except OSError as error:
             outcome = outcome._replace(detail=f"the intent log: {error}")
         finally:
-            self._finish(key, outcome)
+            state = self._finish(key, outcome)
+        if state is not outcome.state:
+            return outcome._replace(state=state, detail=f"may have run at an earlier try: {outcome.detail}")
         return outcome
 
     def _outcome_without_sending(self, decision: KeyDecision) -> WriteOutcome:
@@ -134,13 +136,13 @@
             )
         return WriteOutcome(action, version=version)
 
-    def _finish(self, key: str, outcome: WriteOutcome) -> None:
-        """Record the outcome of a key's write, and wake up the threads that wait for it."""
+    def _finish(self, key: str, outcome: WriteOutcome) -> WriteState:
+        """Record the outcome of an attempt, wake up the threads that wait for it, and return the write's state."""
         result: dict[str, Any] | None = None
         if outcome.state is WriteState.COMPLETED:
             result = {"share": outcome.replicated_share}
         with self._lock:
-            self._records.finish(key, outcome.state, self._now(), result)
+            state = self._records.finish(key, outcome.state, self._now(), result)
             record = self._records.get(key)
             in_progress = self._in_progress.pop(key, None)
         if in_progress:
@@ -150,6 +152,7 @@
                 self._log.append(key, record)
             except OSError as error:
                 self._log_message(f"the outcome of key {key!r} could not be logged: {error}")
+        return state
 
 
 def restore_records(
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -52,6 +52,13 @@
         elif decision.action is KeyAction.OVER_CAPACITY:
             assert len(self.records) == LIMITS.max_records
 
+    def receive(self, key: str, version: int) -> None:
+        """The replica executes a write, or drops it as a repeat."""
+        received_at = self.first_received_at.get(key)
+        if received_at is None or self.now - received_at >= LIMITS.window:
+            self.first_received_at[key] = self.now
+            self.effects[key, version] = self.effects.get((key, version), 0) + 1
+
     @precondition(lambda self: bool(self.in_progress))
     @rule(
         data=st.data(),
@@ -66,23 +73,14 @@
         if at_deadline:
             self.now = max(self.now, decision.send_deadline - 0.01)
         if reaches_replica and self.now < decision.send_deadline:
-            received_at = self.first_received_at.get(key)
-            if received_at is None or self.now - received_at >= LIMITS.window:
-                self.first_received_at[key] = self.now
-                effect = key, decision.version
-                self.effects[effect] = self.effects.get(effect, 0) + 1
+            self.receive(key, decision.version)
         if (
             outcome is WriteState.IN_PROGRESS
             or (outcome is WriteState.NOT_EXECUTED and reaches_replica)
             or (outcome is WriteState.COMPLETED and not reaches_replica)
         ):
             return
-        if (
-            outcome is WriteState.NOT_EXECUTED
-            and key in self.first_received_at
-            and self.effects.get((key, decision.version))
-        ):
-            return  # an earlier attempt was executed, so there is no proof of non-execution
+        # NOT_EXECUTED is of this attempt: an earlier one may have been executed.
         self.records.finish(key, outcome, self.now, {"version": decision.version})
         record = self.records.get(key)
         assert record is not None
@@ -90,6 +88,28 @@
             self.logged[key] = record
         del self.in_progress[key]
 
+    @precondition(lambda self: bool(self.records) and not self.in_progress)
+    @rule(data=st.data(), reached=st.booleans(), seconds=st.sampled_from([0.1, 4.0]))
+    def repeat_is_refused(self, data: Any, reached: bool, seconds: float) -> None:
+        """A write of unknown outcome is asked again at once, is refused, and is asked once more after the window."""
+        key = data.draw(st.sampled_from("abcdefgh"))
+        for outcome, reaches in ((WriteState.UNKNOWN, reached), (WriteState.NOT_EXECUTED, False)):
+            self.request(key, "x")
+            if key not in self.in_progress:
+                return
+            decision, _ = self.in_progress.pop(key)
+            if reaches and self.now < decision.send_deadline:
+                self.receive(key, decision.version)
+            self.records.finish(key, outcome, self.now)
+            record = self.records.get(key)
+            assert record is not None
+            self.logged[key] = record
+            self.now += seconds
+        self.now += LIMITS.window
+        self.request(key, "x")
+        if key in self.in_progress:
+            self.receive(key, self.in_progress[key][0].version)
+
     @rule(down_seconds=st.sampled_from([0.0, 3.0, 9.6, 60.0]))
     def crash(self, down_seconds: float) -> None:
         self.now += down_seconds
@@ -131,3 +151,13 @@
     records.finish("i", WriteState.COMPLETED, 131.0, {"a": 1})
     assert records.begin("i", "x", 2, 150.0) == KeyDecision(KeyAction.REPLAY_RESULT, 1, result={"a": 1})
     assert records.begin("k", "x", 30, 190.0).action is KeyAction.SEND, "the record has expired"
+
+
+# Guards against a refused repeat that makes a key that may have run one that never ran: it ran twice (review/9).
+def test_a_key_that_may_have_run_stays_so_when_a_repeat_is_refused() -> None:
+    records = IdempotencyRecords(LIMITS)
+    records.begin("k", "x", 1, 100.0)
+    assert records.finish("k", WriteState.UNKNOWN, 101.0) is WriteState.UNKNOWN
+    assert records.begin("k", "x", 2, 105.0).action is KeyAction.SEND
+    assert records.finish("k", WriteState.NOT_EXECUTED, 106.0) is WriteState.UNKNOWN
+    assert records.begin("k", "x", 3, 112.0).action is KeyAction.WINDOW_EXPIRED
