A write that was refused gets a new version when it is asked again

What callers saw: a write was refused with 503 and asked again, as the client was told to.

Cause: IdempotencyRecords.begin kept the version of the refused try. A write of the same point that was acknowledged meanwhile is newer, so that every holder dropped the repeat, which counts as done.

Change: a key of which no attempt ran gets a new version with each try; one that may have run keeps its version, as its write may come before those acknowledged since.

--- a/gingervane/writes/idempotency.py
+++ b/gingervane/writes/idempotency.py
@@ -49,7 +49,7 @@
     """Result of `IdempotencyRecords.begin`."""
 
     action: KeyAction
-    version: int = 0  # of the write, the same for every attempt
+    version: int = 0  # of the write, the same for all attempts that may have been executed
     send_deadline: float = 0.0  # time after which no part of the write may be sent
     result: Any = None
 
@@ -95,7 +95,10 @@
         return self._records.get(key)
 
     def begin(self, key: str, digest: str, version: int, now: float) -> KeyDecision:
-        """Decide how to handle a request with this key. The write gets `version` if the key is new."""
+        """Decide how to handle a request with this key.
+
+        The write gets `version` if the key is new, or if there is proof that no attempt was executed.
+        """
         self._remove_expired(now)
         record = self._records.get(key)
         if record is None:
@@ -109,8 +112,9 @@
                 return KeyDecision(KeyAction.REPLAY_RESULT, record.version, result=record.result)
             case WriteState.IN_PROGRESS:
                 return KeyDecision(KeyAction.WAIT, record.version)
-            case WriteState.NOT_EXECUTED:  # starts a new window and keeps the version of the write
-                return self._start_attempt(key, digest, record.version, now, now)
+            case WriteState.NOT_EXECUTED:
+                # Starts a new window with a new version: writes that were acknowledged since are older than this one.
+                return self._start_attempt(key, digest, version, now, now)
         if now >= self._send_deadline(record.first_sent_at):
             return KeyDecision(KeyAction.WINDOW_EXPIRED, record.version)
         self._possibly_executed.add(key)
