--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -91,7 +91,7 @@
     @precondition(lambda self: bool(self.records) and not self.in_progress)
     @rule(data=st.data(), reached=st.booleans(), seconds=st.sampled_from([0.1, 4.0]))
     def repeat_is_refused(self, data: Any, reached: bool, seconds: float) -> None:
-        """A write of unknown outcome is asked again at once, is refused, and is asked once more after the window."""
+        """A write of unknown outcome is asked again, is refused, and is asked once more after the window."""
         key = data.draw(st.sampled_from("abcdefgh"))
         for outcome, reaches in ((WriteState.UNKNOWN, reached), (WriteState.NOT_EXECUTED, False)):
             self.request(key, "x")
