A vector node that is new, back or restarted is owed its points from its listing on

What callers saw: three of ten nodes were replaced one by one by empty ones.

Cause: ShardPlacement called a holder recovered only if an earlier list had shown it as gone; one that is new in the list was taken for complete.

Change: a holder may lack points when it is ready and was not so in the list before, or when the list shows a later start. Its shards are owed from then on and compared first.

--- a/gingervane/writes/missed_writes.py
+++ b/gingervane/writes/missed_writes.py
@@ -1,7 +1,7 @@
 """Missed writes: shards with a replica that may lack a write, and the next shard to compare. Free of I/O.
 
 A shard has a missed write if the client was answered although a replica did not acknowledge its part, or if a
-replica recovers after it was gone. Repair compares the replicas of the shard and copies the points that
+replica is new, back, or was restarted. Repair compares the replicas of the shard and copies the points that
 differ. A budget of points limits the load of repair. A sweep also compares every shard periodically.
 
 One owner calls these classes under its lock; the caller passes the time.
@@ -63,7 +63,7 @@
         return len(self._missed)
 
     def add(self, shard: ShardKey, now: float) -> None:
-        """Record that a replica did not acknowledge a write, or has recovered after it was gone."""
+        """Record that a replica did not acknowledge a write, or may lack points."""
         if shard not in self._missed:
             self._missed[shard] = MissedWrite(now, now + self._budget.initial_backoff)
 
--- a/gingervane/writes/repair.py
+++ b/gingervane/writes/repair.py
@@ -96,8 +96,8 @@
         with self._lock:
             self._pending.discard(shard, version)
 
-    def replica_recovered(self, shards: Iterable[ShardKey]) -> None:
-        """Record that a replica of these shards recovered after it was gone, and may have missed writes."""
+    def replica_incomplete(self, shards: Iterable[ShardKey]) -> None:
+        """Record that a replica of these shards is new, back, or was restarted, and may lack points."""
         with self._lock:
             for shard in shards:
                 self._missed_writes.add(shard, time.monotonic())
--- a/gingervane/writes/replicated_shards.py
+++ b/gingervane/writes/replicated_shards.py
@@ -113,13 +113,13 @@
         return [self._read_coordinator, self._write_coordinator]
 
     def endpoints_updated(self, update: t.EndpointsUpdated) -> None:
-        """Apply an endpoint list, and schedule repair of recovered replicas. Called by one thread."""
+        """Apply an endpoint list, and schedule repair of replicas that may lack points. Called by one thread."""
         update_for_writes = self.placement.endpoints_updated(update)
         self._read_coordinator.endpoints_updated(update)
         self._write_coordinator.endpoints_updated(update_for_writes)
-        for replica in self.placement.recovered_replicas:
+        for replica in self.placement.incomplete_replicas:
             shards = set(self.placement.shards_of(replica))
-            self.repairer.replica_recovered([shard for shard in self._shards if shard.shard in shards])
+            self.repairer.replica_incomplete([shard for shard in self._shards if shard.shard in shards])
 
     def start(self) -> None:
         """Start both coordinators, which then process endpoint lists and queries submitted earlier."""
--- a/gingervane/writes/shard_placement.py
+++ b/gingervane/writes/shard_placement.py
@@ -36,10 +36,9 @@
         self._replicas: dict[int, api.Replica] = {}
         self._addresses: dict[int, tuple[str, int]] = {}
         self._by_shard: dict[int, tuple[ShardReplica, ...]] = {}
-        self._gone: set[int] = set()
-        self.recovered_replicas: set[int] = (
-            set()
-        )  # replicas that were gone before the last list and no longer are
+        self._started_at: dict[int, float] | None = None  # of the ready replicas of the last list, by replica
+        # Ready replicas of the last list that were not ready in the one before, or that it shows as restarted.
+        self.incomplete_replicas: set[int] = set()
 
     def endpoints_updated(self, update: EndpointsUpdated) -> EndpointsUpdated:
         """Apply an endpoint list, and return it with the cells that the engine of writes uses."""
@@ -50,7 +49,7 @@
         for replica in membership.replicas:
             self._replicas[replica.id] = replica
             self._own_cells.setdefault(replica.id, len(self._own_cells))
-        self._update_gone()
+        self._update_incomplete()
         self._by_shard = self._place()
         replicas = tuple(
             replica._replace(cell=self._own_cells[replica.id]) for replica in membership.replicas
@@ -69,12 +68,24 @@
         """Return the listed replicas of a shard that are not gone."""
         return self._by_shard.get(shard, ())
 
-    def _update_gone(self) -> None:
-        gone = {
-            number for number, replica in self._replicas.items() if replica.state is api.ReplicaState.GONE
+    def _update_incomplete(self) -> None:
+        """Find the replicas that may lack points: new, back after they drained or were gone, or restarted.
+
+        Those of the first list count as complete.
+        """
+        before = self._started_at
+        self._started_at = {
+            number: replica.started_at
+            for number, replica in self._replicas.items()
+            if replica.state is api.ReplicaState.READY
         }
-        self.recovered_replicas = self._gone & (set(self._replicas) - gone)
-        self._gone = (self._gone | gone) - self.recovered_replicas
+        self.incomplete_replicas = set()
+        if before is not None:
+            self.incomplete_replicas = {
+                number
+                for number, at in self._started_at.items()
+                if number not in before or at > before[number]
+            }
 
     def _place(self) -> dict[int, tuple[ShardReplica, ...]]:
         by_shard: dict[int, list[ShardReplica]] = {shard: [] for shard in range(self._cell_count)}
--- a/tests/recordings/driver_tools.py
+++ b/tests/recordings/driver_tools.py
@@ -74,7 +74,7 @@
 
     def update(self, item: t.EndpointsUpdated) -> tuple[Any, ...]:
         result = self.placement.endpoints_updated(item)
-        return result, tuple(sorted(self.placement.recovered_replicas))
+        return result, tuple(sorted(self.placement.incomplete_replicas))
 
     def lookup(self, shard: int) -> tuple[Any, ...]:
         return tuple(tuple(holder) for holder in self.placement.replicas_of(shard))
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -6,8 +6,11 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
+from gingervane import interface as api
+from gingervane.coordinator.types import EndpointsUpdated
 from gingervane.writes.missed_writes import MissedWrites, RepairBudget, ShardKey
 from gingervane.writes.repair_plan import PointState, plan_copies
+from gingervane.writes.shard_placement import ShardPlacement
 
 point_states = st.builds(PointState, st.integers(1, 4), st.integers(0, 2), st.integers(0, 2))
 replicas = st.dictionaries(
@@ -73,3 +76,33 @@
     assert waits[0] <= 1.25 and waits[-1] >= 8.0 and missed.oldest_age(now) == now
     missed.record_comparison(missed_shard, now, 3, 0, True)
     assert not len(missed) and missed.repaired == 1 and missed.points_copied == 23
+
+
+FULL, DELTA = api.MembershipUpdateKind.FULL, api.MembershipUpdateKind.DELTA
+READY, DRAINING, GONE = api.ReplicaState.READY, api.ReplicaState.DRAINING, api.ReplicaState.GONE
+
+
+def incomplete_after(
+    placement: ShardPlacement, kind: api.MembershipUpdateKind, *rows: api.Replica
+) -> set[int]:
+    addresses = {row.id: ("127.0.0.1", row.id) for row in rows}
+    placement.endpoints_updated(EndpointsUpdated(api.MembershipChanged(kind, rows), addresses))
+    return placement.incomplete_replicas
+
+
+def holder(number: int, state: api.ReplicaState = READY, started_at: float = 0.0) -> api.Replica:
+    return api.Replica(number, number % 3, 0, 1.0, state, started_at)
+
+
+# Guards against a new holder that is taken for a complete one: three replacements lost all points (review/6).
+def test_a_replica_that_is_new_back_or_restarted_may_lack_points() -> None:
+    placement = ShardPlacement(3, 3)
+    assert not incomplete_after(placement, FULL, holder(1), holder(2), holder(3)), "the first list is known"
+    assert not incomplete_after(placement, DELTA)
+    assert incomplete_after(placement, FULL, holder(1), holder(2), holder(4)) == {4}, "replaced"
+    assert incomplete_after(placement, DELTA, holder(3)) == {3}, "listed again"
+    assert not incomplete_after(placement, DELTA, holder(1, DRAINING))
+    assert not incomplete_after(placement, DELTA, holder(2, GONE))
+    assert incomplete_after(placement, DELTA, holder(1), holder(2)) == {1, 2}, "back"
+    assert incomplete_after(placement, DELTA, holder(2, started_at=5.0)) == {2}, "restarted, perhaps empty"
+    assert not incomplete_after(placement, DELTA, holder(2, started_at=5.0))
