--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -153,7 +153,7 @@
     assert records.begin("k", "x", 30, 190.0).action is KeyAction.SEND, "the record has expired"
 
 
-# Guards against a refused repeat that makes a key that may have run one that never ran: it ran twice (review/9).
+# Guards against a refused repeat that makes a key that may have run one that never ran (review/9).
 def test_a_key_that_may_have_run_stays_so_when_a_repeat_is_refused() -> None:
     records = IdempotencyRecords(LIMITS)
     records.begin("k", "x", 1, 100.0)
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -124,7 +124,7 @@
     assert missed.next_shard(8.6) == shard
 
 
-# Guards against additions that are lost as a repair copies one row over another that ran others (review/7, claim).
+# Guards against additions that are lost as a repair copies one row over another that ran others (review/7).
 def test_additions_that_two_replicas_ran_apart_are_all_kept() -> None:
     shards = {replica: Shard(Collection("c", 2, "Dot")) for replica in (0, 1)}
     for shard in shards.values():
