--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -43,6 +43,7 @@
     seed: int
     retries: int
     hung: int  # replicas that serve nothing
+    coordinators: int = COORDINATORS
 
 
 class Figures(NamedTuple):
@@ -77,11 +78,11 @@
     retries: int
 
 
-def settings() -> api.Settings:
+def settings(coordinators: int) -> api.Settings:
     """Settings of the co-ordinators, with a class that is safe to repeat and needs all parts."""
     base = engine_settings(SHARDS)
     kind = base.query_classes[0]._replace(deadline=DEADLINE)
-    return base._replace(query_classes=(kind,), coordinator_count=COORDINATORS, max_parts_per_request=1)
+    return base._replace(query_classes=(kind,), coordinator_count=coordinators, max_parts_per_request=1)
 
 
 class Run:
@@ -89,7 +90,10 @@
 
     def __init__(self, job: Job) -> None:
         self.job, self.random = job, random.Random(job.seed)
-        self.engines = [DecisionEngine(settings(), self.random.getrandbits(32)) for _ in range(COORDINATORS)]
+        self.engines = [
+            DecisionEngine(settings(job.coordinators), self.random.getrandbits(32))
+            for _ in range(job.coordinators)
+        ]
         self.events: list[tuple[float, int, Callable[[float], None]]] = []
         self.order, self.ids = itertools.count(), itertools.count(1)
         self.queues = [deque[Item]() for _ in range(REPLICAS)]
@@ -156,9 +160,13 @@
             if item.cancelled or now >= item.expires_at:
                 continue
             self.busy[replica] += 1
-            seconds = PART_SECONDS * self.random.lognormvariate(-0.125, 0.5)
+            seconds = self.work_seconds(now)
             self.schedule(now + seconds, lambda at, item=item: self.served(replica, item, at))  # type: ignore[misc]
 
+    def work_seconds(self, now: float) -> float:
+        """Return the seconds that a part takes which a replica begins now."""
+        return PART_SECONDS * self.random.lognormvariate(-0.125, 0.5)
+
     def served(self, replica: int, item: Item, now: float) -> None:
         self.busy[replica] -= 1
         if not item.cancelled:
@@ -179,7 +187,7 @@
         parts = [
             api.PartArrived(next(self.ids), query, (shard + 3 * i) % SHARDS, 1 / PARTS) for i in range(PARTS)
         ]
-        self.deliver(self.random.randrange(COORDINATORS), now, arrival, *parts)
+        self.deliver(self.random.randrange(self.job.coordinators), now, arrival, *parts)
 
     def client_arrives(self, now: float) -> None:
         self.count(now, asked=1)
@@ -189,7 +197,7 @@
 
     def play(self) -> Figures:
         replicas = tuple(api.Replica(n, n, 0, 1.0, api.ReplicaState.READY, 0.0) for n in range(REPLICAS))
-        for coordinator in range(COORDINATORS):
+        for coordinator in range(self.job.coordinators):
             update = api.MembershipChanged(api.MembershipUpdateKind.FULL, replicas)
             self.deliver(coordinator, START, update)
         self.schedule(START, self.client_arrives)
