--- a/gingervane/decisions/engine.py
+++ b/gingervane/decisions/engine.py
@@ -20,11 +20,12 @@
 from gingervane.decisions.batch_context import BatchContext
 from gingervane.decisions.completeness import QueryState
 from gingervane.decisions.drain_reports import DrainReports
-from gingervane.decisions.hedging import NO_RESPONSE_DELAYS, Hedging
+from gingervane.decisions.hedging import Hedging
 from gingervane.decisions.idle_connections import IdleConnectionLimit
 from gingervane.decisions.latency import LatencyEstimator
 from gingervane.decisions.membership import Membership
-from gingervane.decisions.outlier_ejection import FAILURE_WEIGHT, REJECTION_WEIGHT, OutlierDetector
+from gingervane.decisions.outcome_learning import OutcomeLearning
+from gingervane.decisions.outlier_ejection import OutlierDetector
 from gingervane.decisions.query_completion import TIMER_MARGIN, QueryCompletion
 from gingervane.decisions.query_state import Attempt, Part, Query
 from gingervane.decisions.replica_selection import ReplicaSelector
@@ -34,11 +35,6 @@
 from gingervane.decisions.slow_start import SlowStart
 from gingervane.decisions.watch_options import DEFAULT_WATCH_OPTIONS, WatchOptions
 
-# Outcomes that prove that the replica responds.
-RESPONSE_OUTCOMES = (api.AttemptOutcome.OK, api.AttemptOutcome.ERROR, api.AttemptOutcome.REJECTED)
-# Outcomes that are no evidence of a replica's health.
-NEUTRAL_OUTCOMES = (api.AttemptOutcome.CANCELLED, api.AttemptOutcome.NEVER_SENT)
-
 
 class DecisionEngine:
     """Takes the decisions of one co-ordinator, from its settings and its events only."""
@@ -60,8 +56,21 @@
         self._selector = ReplicaSelector(
             settings, self.context, self.membership, self.slow_start, self._timing
         )
-        self._dispatcher = AttemptDispatcher(
-            settings,
+        self._dispatcher = self._make_dispatcher(first_sends)
+        self._admission = AdmissionControl(
+            settings, self.context, self.membership, self.latency, self._timing, self._dispatcher
+        )
+        self.completion = QueryCompletion(
+            settings, self.context, admission=self._admission, dispatcher=self._dispatcher
+        )
+        self.hedging = self._make_hedging(first_sends)
+        self._learning = self._make_learning()
+        self._changed_queries = dict[int, Query]()  # by id: queries with parts that arrived in this batch
+        self._handlers = self._event_handlers()
+
+    def _make_dispatcher(self, first_sends: SlidingWindowCount) -> AttemptDispatcher:
+        return AttemptDispatcher(
+            self.settings,
             self.context,
             selector=self._selector,
             slow_start=self.slow_start,
@@ -70,13 +79,9 @@
             first_sends=first_sends,
             start_hedge_timer=self._start_hedge_timer,
         )
-        self._admission = AdmissionControl(
-            settings, self.context, self.membership, self.latency, self._timing, self._dispatcher
-        )
-        self.completion = QueryCompletion(
-            settings, self.context, admission=self._admission, dispatcher=self._dispatcher
-        )
-        self.hedging = Hedging(
+
+    def _make_hedging(self, first_sends: SlidingWindowCount) -> Hedging:
+        return Hedging(
             self.context,
             admission=self._admission,
             dispatcher=self._dispatcher,
@@ -87,8 +92,18 @@
             timing=self._timing,
             update_query=self.completion.update,
         )
-        self._changed_queries = dict[int, Query]()  # by id: queries with parts that arrived in this batch
-        self._handlers = self._event_handlers()
+
+    def _make_learning(self) -> OutcomeLearning:
+        return OutcomeLearning(
+            self.context,
+            hedging=self.hedging,
+            idle_connections=self._idle_connections,
+            latency=self.latency,
+            leases=self.membership.leases,
+            outlier_detector=self._outlier_detector,
+            slow_start=self.slow_start,
+            timing=self._timing,
+        )
 
     def _event_handlers(self) -> dict[type, Callable[..., None]]:
         """Handlers by event type. Health checks have none, as the engine does not request them."""
@@ -162,25 +177,9 @@
 
     def _on_deadline(self, query: Query) -> None:
         if not query.settled:
-            self._record_unanswered(query)
+            self._learning.record_unanswered(query)
         self.completion.on_deadline(query)
 
-    def _record_unanswered(self, query: Query) -> None:
-        """Count the time that open attempts have taken as their latency, which is at least as long.
-
-        Without them an overload would look shorter than the callers' time however long it is. Attempts at ejected
-        replicas, and those whose answers were lost, say nothing about queues.
-        """
-        if self.context.process_paused:
-            return
-        for part in query.parts:
-            for attempt in part.attempts:
-                replica, sent_at = attempt.replica, attempt.request.sent_at
-                if not replica.ejected_for and replica.last_answered_send_at < sent_at:
-                    now = self.context.now
-                    query_class = query.arrival.query_class
-                    self.latency.record_outcome(query_class, now - sent_at, attempt.requests_ahead, now)
-
     def _start_parts(self, query: Query) -> None:
         """Send the parts of a step, or reject the query."""
         for part in query.parts:
@@ -221,8 +220,7 @@
         attempt = self._dispatcher.close(event)
         if attempt is None:
             return
-        self._record_health(attempt, event.outcome)
-        self._record_response(attempt, event)
+        self._learning.record_end(attempt, event)
         part = attempt.part
         if not part.done and event.outcome is api.AttemptOutcome.OK:
             self._receive_part(part, event.latency)
@@ -265,61 +263,6 @@
             median_count = part.attempts_not_sent
         return median_count * self._timing.usual_latency(part)
 
-    def _record_health(self, attempt: Attempt, outcome: api.AttemptOutcome) -> None:
-        """Record an outcome as evidence for or against the health of the replicas concerned."""
-        replica = attempt.replica
-        if outcome is api.AttemptOutcome.OK:
-            self.slow_start.record_answer()
-            # An answer after the attempt has counted as without response is no evidence of health: it would
-            # reinstate an overloaded replica, here and at all peers.
-            if attempt.hedge_delays < NO_RESPONSE_DELAYS:
-                self._outlier_detector.record_outcome(replica, 0.0)
-            if attempt.hedged and not attempt.part.done and not self.context.process_paused:
-                self._record_lost_to_hedge(attempt.part)
-        elif outcome not in NEUTRAL_OUTCOMES:
-            self.hedging.record_failure()
-            if outcome not in RESPONSE_OUTCOMES:
-                replica.last_unresponsive_at = self.context.now
-            # Ejecting a replica whose queue is merely full would move its load to the next holder.
-            rejected = outcome is api.AttemptOutcome.REJECTED
-            weight = REJECTION_WEIGHT if rejected else FAILURE_WEIGHT
-            self._outlier_detector.record_outcome(replica, weight, api.EjectionReason(outcome.value))
-
-    def _record_lost_to_hedge(self, part: Part) -> None:
-        """Record that a later hedge was faster: evidence against the replica even when the whole fleet is slow."""
-        for attempt in part.attempts:
-            self._outlier_detector.record_outcome(
-                attempt.replica, FAILURE_WEIGHT, api.EjectionReason.LOST_TO_HEDGE
-            )
-
-    def _record_response(self, attempt: Attempt, event: api.AttemptEnded) -> None:
-        """Update the replica's state and the latency estimates from a response of any kind."""
-        if event.outcome not in RESPONSE_OUTCOMES:
-            return
-        replica = attempt.replica
-        replica.last_answered_send_at = max(replica.last_answered_send_at, attempt.request.sent_at)
-        replica.unresponsive_until = 0.0
-        if event.outcome is api.AttemptOutcome.OK:
-            replica.last_served_send_at = max(replica.last_served_send_at, attempt.request.sent_at)
-            self.membership.leases.record_served()
-        elif event.outcome is api.AttemptOutcome.REJECTED:
-            replica.last_rejected_send_at = max(replica.last_rejected_send_at, attempt.request.sent_at)
-        self._idle_connections.record_answer(attempt)
-        if self.context.process_paused:
-            return
-        query = attempt.part.query
-        query_class = query.arrival.query_class
-        latency = relative_latency = event.latency
-        if event.outcome is api.AttemptOutcome.REJECTED:
-            # A full queue rejects at once, which says nothing about the queueing delay. Recording these short
-            # latencies would hide an overload and prolong it. The slowest served parts were those of a long queue.
-            latency = self.latency.slowest(query_class)
-            # For its caller the part has used up one of the attempts that its time allows.
-            relative_latency = self._timing.share_of_attempt(attempt.part)
-        now = self.context.now
-        self.latency.record_relative_latency(replica, query_class, relative_latency, now)
-        self.latency.record_outcome(query_class, latency, attempt.requests_ahead, now)
-
     def _receive_part(self, part: Part, latency: float) -> None:
         """Process the first good answer to a part."""
         query = part.query
