--- a/gingervane/fake_servers/vector_shard.py
+++ b/gingervane/fake_servers/vector_shard.py
@@ -9,20 +9,26 @@
 import numpy as np
 import orjson
 
+from gingervane.fake_servers.mergeable_rows import (
+    Row,
+    complete_row,
+    full_row,
+    merge,
+    with_fields,
+    with_increments,
+)
 from gingervane.vectors.filters import matches_filter
 from gingervane.vectors.points import Collection, order_of
 
-Stored = dict[str, Any]  # id, version, ops (increments since the last upsert), vector, payload, deleted
-
 
 class Shard:
     """The points of one shard of one collection. Not thread-safe: the caller holds a lock."""
 
     def __init__(self, collection: Collection) -> None:
         self.collection = collection
-        self.points: dict[Any, Stored] = {}
+        self.points: dict[Any, Row] = {}
         self.newest = 0  # version of the newest point
-        self._matrix: tuple[list[Stored], Any] | None = None
+        self._matrix: tuple[list[Row], Any] | None = None
 
     def search(self, query: dict[str, Any]) -> list[dict[str, Any]]:
         """Find the nearest points by brute force."""
@@ -52,7 +58,7 @@
             scores = np.divide(scores, norms, out=np.zeros_like(scores), where=norms > 0)
         return scores
 
-    def _point(self, score: float, row: Stored, query: dict[str, Any]) -> dict[str, Any]:
+    def _point(self, score: float, row: Row, query: dict[str, Any]) -> dict[str, Any]:
         out = {"id": row["id"], "version": row["version"], "score": score}
         payload = query.get("with_payload", False)
         if payload:
@@ -62,19 +68,21 @@
             out["vector"] = row["vector"]
         return out
 
-    def _rows(self) -> tuple[list[Stored], Any]:
+    def _rows(self) -> tuple[list[Row], Any]:
         if self._matrix is None:
             rows = [row for row in self.points.values() if not row["deleted"]]
             self._matrix = rows, np.asarray([row["vector"] for row in rows], dtype=np.float64)
         return self._matrix
 
-    def put(self, row: Stored) -> bool:
-        """Store a point unless the same or a newer version is stored; return whether it was stored."""
+    def put(self, row: Row) -> bool:
+        """Merge a row into that of its point; return whether this changed anything."""
+        row = complete_row(row)
         known = self.points.get(row["id"])
-        if known is not None and rank(known) >= rank(row):
+        merged = row if known is None else merge(known, row)
+        if merged == known:
             return False
-        self.points[row["id"]] = row
-        self.newest, self._matrix = max(self.newest, row["version"]), None
+        self.points[row["id"]] = merged
+        self.newest, self._matrix = max(self.newest, merged["version"]), None
         return True
 
     def apply(self, kind: str, body: dict[str, Any], version: int) -> list[Any]:
@@ -90,47 +98,22 @@
                 return self._set_payload(body, version)
 
     def _upsert(self, points: list[dict[str, Any]], version: int) -> list[Any]:
-        changed = []
-        for point in points:
-            row = {
-                **point,
-                "payload": point.get("payload") or {},
-                "version": version,
-                "deleted": False,
-                "ops": 0,
-            }
-            if self.put(row):
-                changed.append(point["id"])
-        return changed
+        return [point["id"] for point in points if self.put(full_row(point, version))]
 
     def _delete(self, ids: list[Any], version: int) -> list[Any]:
-        changed = []
-        for number in ids:
-            row = {"id": number, "vector": [], "payload": {}, "version": version, "deleted": True, "ops": 0}
-            if self.put(row):
-                changed.append(number)
-        return changed
+        deleted = (full_row({"id": number, "vector": []}, version, deleted=True) for number in ids)
+        return [row["id"] for row in deleted if self.put(row)]
 
     def _increment_payload(self, body: dict[str, Any], version: int) -> list[Any]:
-        """Add to payload fields. Older versions are applied too, as increments commute; `ops` counts them."""
-        changed = []
-        for known in self._stored(body["points"]):
-            payload = dict(known["payload"])
-            for key, by in body["payload"].items():
-                payload[key] = payload.get(key, 0) + by
-            newest = max(version, known["version"])
-            self.put({**known, "payload": payload, "version": newest, "ops": known["ops"] + 1})
-            changed.append(known["id"])
-        return changed
+        """Add to payload fields. Increments commute, and each is known by its version."""
+        stored = self._stored(body["points"])
+        return [row["id"] for row in stored if self.put(with_increments(row, body["payload"], version))]
 
     def _set_payload(self, body: dict[str, Any], version: int) -> list[Any]:
-        changed = []
-        for known in self._stored(body["points"]):
-            if self.put({**known, "payload": known["payload"] | body["payload"], "version": version}):
-                changed.append(known["id"])
-        return changed
+        stored = self._stored(body["points"])
+        return [row["id"] for row in stored if self.put(with_fields(row, body["payload"], version))]
 
-    def _stored(self, ids: list[Any]) -> Iterator[Stored]:
+    def _stored(self, ids: list[Any]) -> Iterator[Row]:
         """Yield the stored points of these ids that are not deleted, each looked up as it is yielded."""
         for number in ids:
             known = self.points.get(number)
@@ -138,17 +121,13 @@
                 yield known
 
 
-def digest(row: Stored) -> int:
-    """Return a 48-bit digest of a point's vector, payload and deletion mark."""
-    content = [row["vector"], row["payload"], row["deleted"]]
+def digest(row: Row) -> int:
+    """Return a 48-bit digest of all that a row was made of: equal digests mean that the same operations were seen."""
+    content = [row[key] for key in ("vector", "deleted", "written", "set_at", "base", "added")]
     data = orjson.dumps(content, option=orjson.OPT_SORT_KEYS)
     return int.from_bytes(hashlib.blake2b(data, digest_size=6).digest(), "big")
 
 
-def rank(row: Stored) -> tuple[int, int, int]:
-    """Return the sort key by which replicas choose between contents of a point; the highest wins.
-
-    It orders by version, then by the number of increments, and then by digest, so that all replicas choose
-    the same.
-    """
+def rank(row: Row) -> tuple[int, int, int]:
+    """Return a row's state as repair compares it: its version, its number of increments, and its digest."""
     return row["version"], row["ops"], digest(row)
