--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -177,7 +177,7 @@
 )
 
 
-# Guards against fields and additions that are lost by the order in which rows are merged, and deletions undone.
+# Guards against fields, additions or deletions that are lost by the order in which rows are merged.
 @given(st.lists(st.tuples(WRITES, st.booleans(), st.booleans()), max_size=8))
 @profile(max_examples=200, deadline=None)
 def test_rows_merge_to_the_same_in_any_order(writes: list[tuple[Any, bool, bool]]) -> None:
