A Consul entry whose Node is no object is left out like any other that is malformed

Cause: _parse_entry calls a method of Node before it is known to be an object.

Evidence and test: test_entries_are_parsed_or_reported fails before with that AttributeError; the entry is reported and the others are read now.

--- a/gingervane/membership/consul.py
+++ b/gingervane/membership/consul.py
@@ -120,6 +120,8 @@
 ) -> Member:
     service = entry["Service"]
     node = entry["Node"]
+    if not isinstance(node, dict):
+        raise TypeError("Node: not an object")
     meta = {**(node.get("Meta") or {}), **(service.get("Meta") or {})}
     name = _checked_text(service["ID"], "Service.ID")
     host = _checked_text(service.get("Address") or node["Address"], "Service.Address")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -192,6 +192,9 @@
     members, faults = read(entry(1), *bad)
     assert len(members) == 1 and len(faults) == len(bad)
     assert "Meta.cell: 7 is not from 0 to 1" in faults[0] and faults[0].startswith("[1]")
+    # Guards against an entry that ends the watcher's thread with an exception that nobody expects.
+    members, faults = read(entry(1), entry(2) | {"Node": ["10.0.0.2"]})
+    assert len(members) == 1 and faults == ["[1]: Node: not an object"]
     malformed_answers: list[object] = [{}, "x", [entry(5, cell="7")]]
     for answer in malformed_answers:
         with pytest.raises(ConsulError):
