A port with a digit that is no number is an error of the list file, not the end of its reader

Cause: str.isdigit holds for characters that int refuses.

Evidence and test: test_faults_of_the_list_are_named_at_once or its neighbour in tests/test_settings.py fails before with that ValueError; the row is reported as 'must be HOST:PORT' now.

--- a/gingervane/membership/endpoint_file.py
+++ b/gingervane/membership/endpoint_file.py
@@ -121,7 +121,7 @@
     check("state", state in ("ready", "draining", "gone"), "must be ready, draining or gone")
     check("started", started is None or isinstance(started, int | float), "must be a Unix time")
     host, _, port = str(row.get("address", "")).rpartition(":")
-    has_port = bool(host) and port.isdigit() and 0 < int(port) < 65536
+    has_port = bool(host) and port.isascii() and port.isdigit() and 0 < int(port) < 65536
     check("address", has_port, "must be HOST:PORT")
     if faults:
         return faults
