--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -117,7 +117,7 @@
         "node[1].address: must be HOST:PORT",
         "node[2].id: 1 is a duplicate",
     ]
-    # Guards against a port that counts as digits and is no number, which ended the thread that reads the file.
+    # Guards against a port that counts as digits and is no number: it ended the thread that reads the file.
     with pytest.raises(EndpointFileError, match="must be HOST:PORT"):
         parse(ROW.format(1, 1, "h:9\u00b2", 0, "ready"), ("x",), 2, 0.0)
     with pytest.raises(EndpointFileError, match="node: the list is empty"):
