A repair sends nothing to a node that has begun to drain while it waited for another

Cause: Repairer._compare reads the placement once.

Evidence and test: test_a_repair_leaves_out_a_replica_that_begins_to_drain fails before (the draining one is asked second). The placement is read before each request now; a node left out leaves the comparison incomplete.

--- a/gingervane/writes/repair.py
+++ b/gingervane/writes/repair.py
@@ -143,7 +143,9 @@
         }
         states: dict[int, dict[str, PointState]] = {}
         for number, replica in ready.items():
-            replica_states = self._client.point_states(replica, shard)
+            replica_states = (
+                self._client.point_states(replica, shard) if self._is_ready(replica, shard) else None
+            )
             if replica_states is not None:
                 states[number] = replica_states
         plan = plan_copies(states, capacity) if len(states) > 1 else CopyPlan([], 0, 0)
@@ -157,7 +159,17 @@
     def _copy(self, shard: ShardKey, replicas: dict[int, ShardReplica], copy: PointCopy) -> int:
         source = replicas[copy.source]
         target = replicas[copy.target]
-        return sum(
-            self._client.copy_points(shard, source, target, copy.points[start : start + _MAX_POINTS_PER_COPY])
-            for start in range(0, len(copy.points), _MAX_POINTS_PER_COPY)
+        copied = 0
+        for start in range(0, len(copy.points), _MAX_POINTS_PER_COPY):
+            if not self._is_ready(source, shard) or not self._is_ready(target, shard):
+                break
+            points = copy.points[start : start + _MAX_POINTS_PER_COPY]
+            copied += self._client.copy_points(shard, source, target, points)
+        return copied
+
+    def _is_ready(self, replica: ShardReplica, shard: ShardKey) -> bool:
+        """Whether a replica is still ready. It may have begun to drain while another one was waited for."""
+        return any(
+            listed.replica == replica.replica and listed.state is api.ReplicaState.READY
+            for listed in self._placement.replicas_of(shard.shard)
         )
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -14,8 +14,9 @@
 from gingervane.fake_servers.vector_shard import Shard, rank
 from gingervane.vectors.points import Collection
 from gingervane.writes.missed_writes import MissedWrites, RepairBudget, ShardKey
+from gingervane.writes.repair import Repairer
 from gingervane.writes.repair_plan import PointState, plan_copies
-from gingervane.writes.shard_placement import ShardPlacement
+from gingervane.writes.shard_placement import ShardPlacement, ShardReplica
 
 OPERATIONS = st.frozensets(st.integers(1, 9), min_size=1)  # versions of operations that a replica has seen
 REPLICAS = st.dictionaries(
@@ -204,3 +205,33 @@
         ("set_payload", {"points": [1], "payload": {"a": 1}}, 2),
     )
     assert older_last["payload"] == {"a": 1, "b": 2}, "a newer change of another field drops no older one"
+
+
+class DrainingClient:
+    """A client of replicas; while the first one is asked, another begins to drain."""
+
+    def __init__(self, placement: ShardPlacement) -> None:
+        self._placement = placement
+        self.asked: list[int] = []
+
+    def point_states(self, replica: ShardReplica, shard: ShardKey) -> dict[str, PointState]:
+        self.asked.append(replica.replica)
+        incomplete_after(self._placement, DELTA, holder(2, DRAINING))
+        return {"1": PointState(replica.replica, 0, 0)}
+
+    def copy_points(
+        self, shard: ShardKey, source: ShardReplica, target: ShardReplica, points: tuple[str, ...]
+    ) -> int:
+        self.asked += [source.replica, target.replica]
+        return len(points)
+
+
+# Guards against requests to a replica that began to drain while the repair waited for another one.
+def test_a_repair_leaves_out_a_replica_that_begins_to_drain() -> None:
+    shard, placement = ShardKey("c", 0), ShardPlacement(3, 3)
+    incomplete_after(placement, FULL, holder(1), holder(2), holder(3))
+    client = DrainingClient(placement)
+    repairer = Repairer(MissedWrites(RepairBudget(), [], 0.0), placement, 3, client, print)
+    comparison = repairer._compare(shard, 100)
+    assert client.asked[:2] == [1, 3] and 2 not in client.asked
+    assert comparison.copied and not comparison.complete
