The daemon follows its lists until no query is open, and waits for the repairer last

Cause: App.stop ended the membership and the repairer before the cores.

The order is now: draining is told, queries are answered or refused, connections end, and then membership and repairer stop.

--- a/gingervane/daemon/app.py
+++ b/gingervane/daemon/app.py
@@ -131,14 +131,18 @@
         self._serving = True
 
     def stop(self) -> None:
-        """Answer, reject or fail all open queries, then stop all threads and deregister."""
+        """Answer, reject or fail all open queries, then stop all threads and deregister.
+
+        The lists of servers are followed until no query is open: a server that begins to drain meanwhile is sent
+        nothing. The repairer is waited for last, as it may be waiting for a server that hangs.
+        """
         self._serving = False
         self.membership.drain()
+        self._stop_cores()
+        self._server.stop(self.config.listen.write_timeout)
         self.membership.stop()
         if self.vectors:
             self.vectors.stop()
-        self._stop_cores()
-        self._server.stop(self.config.listen.write_timeout)
         self.membership.deregister()
         if self.vectors:
             self.vectors.close()
