A few parts that wait for a hung replica are no queue

Cause: requests queue where the mean of the last outcomes is over two baselines. One part that waited seconds at a hung replica counts for a hundred baselines, and made that mean for the next 40.

Change: in that mean an outcome counts for four baselines at most, so that a third of the outcomes has to be late. The expected latency keeps them whole.

--- a/gingervane/decisions/latency.py
+++ b/gingervane/decisions/latency.py
@@ -14,6 +14,9 @@
 BASELINE_DOUBLING_TIME = 60.0
 # Number of outcomes over which the moving means are taken (docs/design.md, admission).
 OUTCOMES_PER_MOVING_MEAN = 40
+# Largest multiple of the baseline that one outcome counts for in the queueing ratio. A queue delays many: with this
+# limit a third of the outcomes has to be late for a mean of two, and not one that waited for a hung replica.
+MAX_QUEUEING_RATIO = 4.0
 # Half-life in seconds of the expected latency while no attempt ends (docs/design.md, admission).
 EXPECTED_LATENCY_HALF_LIFE = 2.0
 # Number of parts over which a replica's relative latency is averaged (docs/design.md, relative latency).
@@ -44,9 +47,8 @@
         self.samples = [RankedSamples() for _ in query_classes]
         self.baseline = [inf for _ in query_classes]  # usual median of each class, without queueing
         self._baseline_at = dict[int, float]()  # by class: time of the last update
-        self.mean_ratio = (
-            1.0  # moving mean of the latest outcomes, as multiples of the baselines of their classes
-        )
+        self.mean_ratio = 1.0  # moving mean of the latest outcomes, as multiples of their classes' baselines
+        self.mean_queueing_ratio = 1.0  # the same, with each outcome limited
         self.mean_latency = 0.0  # moving mean of the latest outcomes, seconds
         self.mean_latency_at = 0.0  # time of the latest outcome
         self.mean_requests_ahead = (
@@ -79,19 +81,19 @@
         self._baseline_at[query_class] = now
 
     def queueing_ratio(self, requests_per_replica: float, now: float) -> float:
-        """Mean latency at this load as a multiple of the baseline: about 1 where nothing queues.
+        """Mean latency at this load, late outcomes limited, as a multiple of the baseline: about 1 without queues.
 
         The last mean is scaled by the open requests now and at that time. It decays while no outcomes are recorded;
         otherwise a co-ordinator that rejects everything would never stop. It is one figure for all classes, as their
         parts queue at the same replicas.
         """
-        return self.mean_ratio * self._load_factor(requests_per_replica, now)
+        return self.mean_queueing_ratio * self._load_factor(requests_per_replica, now)
 
     def expected(self, query_class: int, requests_per_replica: float, now: float) -> float:
         """Mean latency in seconds of a part of this class at this load."""
         if self.baseline[query_class] == inf:
             return self.mean_latency * self._load_factor(requests_per_replica, now)
-        return self.baseline[query_class] * self.queueing_ratio(requests_per_replica, now)
+        return self.baseline[query_class] * self.mean_ratio * self._load_factor(requests_per_replica, now)
 
     def _load_factor(self, requests_per_replica: float, now: float) -> float:
         time_without_outcome = max(now - self.mean_latency_at - self.mean_latency, 0.0)
@@ -107,6 +109,8 @@
         if baseline < inf:
             ratio = latency / max(baseline, MIN_MEDIAN)
             self.mean_ratio += (ratio - self.mean_ratio) / OUTCOMES_PER_MOVING_MEAN
+            limited = min(ratio, MAX_QUEUEING_RATIO)
+            self.mean_queueing_ratio += (limited - self.mean_queueing_ratio) / OUTCOMES_PER_MOVING_MEAN
 
     def record_relative_latency(
         self, replica: KnownReplica, query_class: int, latency: float, now: float
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -7,6 +7,7 @@
 
 from gingervane import interface as api
 from gingervane.decisions.engine import DecisionEngine
+from gingervane.decisions.latency import MAX_QUEUEING_RATIO
 from gingervane.decisions.watch_options import DEFAULT_WATCH_OPTIONS, WatchOptions
 
 ANSWER_GRACE = 0.02  # seconds after a query's deadline in which an answer is still accepted
@@ -206,6 +207,7 @@
         latency.mean_latency, latency.mean_latency_at = seconds, self.now
         if latency.baseline[0] < inf:
             latency.mean_ratio = seconds / latency.baseline[0]
+            latency.mean_queueing_ratio = min(latency.mean_ratio, MAX_QUEUEING_RATIO)
 
     def where(self, part: int, attempt: int = 0) -> int:
         """The id of the replica to which an attempt was sent."""
--- a/tests/test_decisions_admission.py
+++ b/tests/test_decisions_admission.py
@@ -212,3 +212,17 @@
     for _ in range(6):
         host.query(0, query_class=1)  # no replica is idle
     assert host.query(0) not in host.ended
+
+
+# Guards against queries that are refused as if requests queued, for a few parts that met a hung replica.
+def test_a_few_parts_that_wait_for_long_are_no_queue() -> None:
+    host = queueing_host()
+    host.set_mean_latency(0.1)
+    latency = host.engine.latency
+    for number in range(40):
+        latency.record_outcome(0, 6.0 if number % 10 == 0 else 0.1, 0, host.now)
+    assert latency.expected(0, 0.0, host.now) > 0.3, "they count for the time that is expected"
+    assert latency.queueing_ratio(0.0, host.now) < 1.5
+    for _ in range(40):
+        latency.record_outcome(0, 0.4, 0, host.now)
+    assert latency.queueing_ratio(0.0, host.now) > 2.0, "a queue delays all"
