A copy is left out at the first sign of a queue, a caller refused only where many parts are late

Change: hedges are suspended by the mean that counts late outcomes in full; whether a queue stands, and quotas, go by the limited one. A copy that is left out costs a caller little; a refusal costs it the answer.

--- a/gingervane/decisions/admission.py
+++ b/gingervane/decisions/admission.py
@@ -73,8 +73,16 @@
         """Mean latency in seconds of a part of this class at the present load, over all ready replicas."""
         return self._latency.expected(query_class, self._requests_per_replica(), self._context.now)
 
+    def may_be_queueing(self) -> bool:
+        """Whether parts take much longer than usual for their classes, be it that a few wait for long.
+
+        That is enough to leave out a copy, which costs a caller little. To refuse a caller takes more: `is_queueing`.
+        """
+        ratio = self._latency.latency_ratio(self._requests_per_replica(), self._context.now)
+        return ratio > QUEUEING_LATENCY
+
     def is_queueing(self) -> bool:
-        """Whether requests queue at the replicas: parts take much longer than usual for their classes."""
+        """Whether requests queue at the replicas: many parts take much longer than usual for their classes."""
         ratio = self._latency.queueing_ratio(self._requests_per_replica(), self._context.now)
         return ratio > QUEUEING_LATENCY
 
--- a/gingervane/decisions/hedging.py
+++ b/gingervane/decisions/hedging.py
@@ -131,7 +131,7 @@
         A part of a query that is nearly complete is a straggler: its lateness does not indicate queueing.
         """
         is_straggler = part.query.weight_received >= 1 - MAX_STRAGGLER_WEIGHT
-        return not is_straggler and self._admission.is_queueing()
+        return not is_straggler and self._admission.may_be_queueing()
 
     def _retry_failed(self, part: Part) -> None:
         """Make another attempt at a part that is open at ejected replicas only, if it can be answered in time.
--- a/gingervane/decisions/latency.py
+++ b/gingervane/decisions/latency.py
@@ -89,11 +89,15 @@
         """
         return self.mean_queueing_ratio * self._load_factor(requests_per_replica, now)
 
+    def latency_ratio(self, requests_per_replica: float, now: float) -> float:
+        """Mean latency at this load as a multiple of the baseline, with late outcomes in full."""
+        return self.mean_ratio * self._load_factor(requests_per_replica, now)
+
     def expected(self, query_class: int, requests_per_replica: float, now: float) -> float:
         """Mean latency in seconds of a part of this class at this load."""
         if self.baseline[query_class] == inf:
             return self.mean_latency * self._load_factor(requests_per_replica, now)
-        return self.baseline[query_class] * self.mean_ratio * self._load_factor(requests_per_replica, now)
+        return self.baseline[query_class] * self.latency_ratio(requests_per_replica, now)
 
     def _load_factor(self, requests_per_replica: float, now: float) -> float:
         time_without_outcome = max(now - self.mean_latency_at - self.mean_latency, 0.0)
--- a/tests/test_decisions_admission.py
+++ b/tests/test_decisions_admission.py
@@ -223,6 +223,7 @@
         latency.record_outcome(0, 6.0 if number % 10 == 0 else 0.1, 0, host.now)
     assert latency.expected(0, 0.0, host.now) > 0.3, "they count for the time that is expected"
     assert latency.queueing_ratio(0.0, host.now) < 1.5
+    assert latency.latency_ratio(0.0, host.now) > 2.0, "enough to leave out a copy"
     for _ in range(40):
         latency.record_outcome(0, 0.4, 0, host.now)
     assert latency.queueing_ratio(0.0, host.now) > 2.0, "a queue delays all"
